--- /dev/null
+++ b/command/command.go
@@ -0,0 +1,94 @@
+// Package command is the command line of briarrouter.
+package command
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes.
+const (
+	exitOK = 0
+	// exitFailed means that the work failed.
+	exitFailed = 1
+	// exitUsage means that the command line is wrong.
+	exitUsage = 2
+	// exitInvalid means that a file was refused.
+	exitInvalid = 3
+	// exitBroken means that a trial broke a promise.
+	exitBroken = 4
+)
+
+const exitCodes = `Exit codes: 0 done; 1 failed; 2 wrong command line; 3 a file was refused; 4 a trial broke a promise.`
+
+// coded is an error with the exit code that it calls for.
+type coded struct {
+	error
+	code int
+}
+
+// Unwrap returns the error without the code.
+func (c coded) Unwrap() error { return c.error }
+
+func invalid(err error) error { return coded{err, exitInvalid} }
+
+// streams is where a command writes.
+type streams struct{ out, err io.Writer }
+
+// Run runs the command that the arguments name and returns the exit code.
+func Run(args []string, out, errOut io.Writer) int {
+	std := streams{out, errOut}
+	parser := flags.NewNamedParser("briarrouter", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "A proxy fleet for targets with gray failures.\n\n" + exitCodes
+	addCommands(parser, std)
+	_, err := parser.ParseArgs(args)
+	return exitCode(err, std)
+}
+
+func exitCode(err error, std streams) int {
+	var flagErr *flags.Error
+	var withCode coded
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp:
+		fmt.Fprintln(std.out, flagErr.Message)
+		return exitOK
+	case errors.As(err, &flagErr):
+		fmt.Fprintln(std.err, "briarrouter:", flagErr.Message)
+		return exitUsage
+	}
+	fmt.Fprintln(std.err, "briarrouter:", err)
+	if errors.As(err, &withCode) {
+		return withCode.code
+	}
+	return exitFailed
+}
+
+// mustAdd adds a command. A command that cannot be added is a programming
+// error.
+func mustAdd(c *flags.Command, err error) *flags.Command {
+	if err != nil {
+		panic(err)
+	}
+	return c
+}
+
+func addCommands(parser *flags.Parser, std streams) {
+	mustAdd(parser.AddCommand("serve", "Run a daemon",
+		"Runs a daemon until SIGTERM or SIGINT, then leaves the fleet without cutting a request.\n\n"+
+			"Example:\n  briarrouter serve --settings /etc/briarrouter.ini\n\n"+exitCodes, &serve{streams: std}))
+	standin := mustAdd(parser.AddCommand("standin", "Run a stand-in for an outside system",
+		"Runs a small program that takes the place of an outside system in a trial.", &struct{}{}))
+	mustAdd(standin.AddCommand("platform", "Run a stand-in for the platform",
+		"Serves values that can be read and watched; a control address publishes them and switches faults.\n\n"+
+			"Example:\n  briarrouter standin platform --listen 127.0.0.1:7000 --control 127.0.0.1:7001\n"+
+			"  curl -X PUT 127.0.0.1:7001/faults/down", &standinPlatform{streams: std}))
+	mustAdd(standin.AddCommand("target", "Run a stand-in for a target",
+		"Runs requests in slots and records each run; a control address switches faults.\n\n"+
+			"Example:\n  briarrouter standin target --listen 127.0.0.1:7100 --control 127.0.0.1:7101 --slots 2\n"+
+			`  curl -X PUT 127.0.0.1:7101/faults -d '{"Slow":5}'`, &standinTarget{streams: std}))
+}
--- /dev/null
+++ b/command/standin.go
@@ -0,0 +1,89 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/briarrouter/briarrouter/standin"
+	"github.com/sourcegraph/conc"
+)
+
+// standinPlatform is the command that runs a stand-in for the platform.
+type standinPlatform struct {
+	streams streams
+	Listen  string `long:"listen" value-name:"ADDRESS" required:"yes" description:"the address for readers"`
+	Control string `long:"control" value-name:"ADDRESS" required:"yes" description:"the address for whoever runs the trial"`
+	Rate    int    `long:"rate" value-name:"N" default:"2000" description:"calls answered per second"`
+}
+
+// Execute runs the stand-in until a signal ends it.
+func (s *standinPlatform) Execute([]string) error {
+	p := standin.NewPlatform(standin.PlatformConfig{Rate: s.Rate})
+	return serveHTTP([]endpoint{{s.Listen, p.Handler()}, {s.Control, p.Control()}})
+}
+
+// standinTarget is the command that runs a stand-in for a target.
+type standinTarget struct {
+	streams   streams
+	Listen    string        `long:"listen" value-name:"ADDRESS" required:"yes" description:"the address for daemons"`
+	Control   string        `long:"control" value-name:"ADDRESS" required:"yes" description:"the address for whoever runs the trial"`
+	Slots     int           `long:"slots" value-name:"N" default:"2" description:"requests run at the same time"`
+	Backlog   int           `long:"backlog" value-name:"N" default:"2" description:"requests that may wait for a slot"`
+	Cold      time.Duration `long:"cold" value-name:"SPAN" default:"0s" description:"time until the target has its full speed"`
+	ProbeCost time.Duration `long:"probe-cost" value-name:"SPAN" default:"25ms" description:"time that a probe takes"`
+	Seed      uint64        `long:"seed" value-name:"N" default:"1" description:"seed of the faults"`
+}
+
+// Execute runs the stand-in until a signal ends it.
+func (s *standinTarget) Execute([]string) error {
+	t := standin.NewTarget(standin.TargetConfig{
+		Slots: s.Slots, Backlog: s.Backlog, Cold: s.Cold, ProbeCost: s.ProbeCost, Seed: s.Seed,
+	})
+	return serveHTTP([]endpoint{{s.Listen, t.Handler()}, {s.Control, t.Control()}})
+}
+
+// endpoint is an address and what answers there.
+type endpoint struct {
+	address string
+	handler http.Handler
+}
+
+// listener serves one endpoint.
+type listener struct {
+	net.Listener
+	server *http.Server
+}
+
+func (l *listener) run() {
+	if err := l.server.Serve(l.Listener); !errors.Is(err, http.ErrServerClosed) {
+		fmt.Fprintln(os.Stderr, "briarrouter:", err)
+	}
+}
+
+// serveHTTP serves the endpoints until a signal ends it.
+func serveHTTP(endpoints []endpoint) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var group conc.WaitGroup
+	defer group.Wait()
+	for _, e := range endpoints {
+		bound, err := net.Listen("tcp", e.address)
+		if err != nil {
+			return fmt.Errorf("standin: %w", err)
+		}
+		l := &listener{Listener: bound, server: &http.Server{Handler: e.handler, ReadHeaderTimeout: readHeaderTimeout}}
+		defer l.server.Close()
+		group.Go(l.run)
+	}
+	<-ctx.Done()
+	return nil
+}
+
+const readHeaderTimeout = 10 * time.Second
--- /dev/null
+++ b/configuration/service.go
@@ -0,0 +1,151 @@
+// Package configuration holds the accepted configuration of the fleet: what
+// services there are, how their requests are routed, and the policy of each.
+package configuration
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/inifile"
+	"github.com/briarrouter/briarrouter/unit"
+)
+
+// Service is the policy of one service. The questionnaire's answers decide
+// every field.
+type Service struct {
+	Name id.Service
+	// Slots is how many requests one target runs at the same time; at least 1.
+	Slots unit.Slots
+	// Connections bounds the connections to one target; at least Slots.
+	Connections int
+	// Floor is how many targets must stay in service; at least 1.
+	Floor unit.Targets
+	// LongShare is the share of all slots that long requests may take.
+	LongShare unit.Ratio
+	// Queue bounds the requests that wait for a slot.
+	Queue int
+	// RetryShare is how many retries may be made for each first attempt.
+	RetryShare unit.Ratio
+	// Attempts bounds the attempts of one idempotent request; at least 1.
+	Attempts int
+	// Evidence is the log-likelihood ratio at which a target is ejected.
+	Evidence float64
+	// FirstEjection is how long the first ejection of a target lasts. Each
+	// further one within EjectionMemory lasts twice as long.
+	FirstEjection time.Duration
+	// Warmup is how long a new target takes to reach its full share.
+	Warmup time.Duration
+	Probe  Probe
+	Target Contract
+	Routes []Route
+	// Shares gives a caller's weight among the callers; 1 where it is missing.
+	Shares map[id.Caller]int
+}
+
+// Probe is how the health of a target is asked for.
+type Probe struct {
+	Path    string
+	Every   time.Duration
+	Timeout time.Duration
+}
+
+// Contract is what a target's answers mean.
+type Contract struct {
+	// NotRunStatus is the status of an answer that says the request was not
+	// run; zero where the target never says so.
+	NotRunStatus int
+	// NotRunHeader must stand in such an answer, with any value. Empty where
+	// the status alone is proof.
+	NotRunHeader string
+	// DrainHeader stands in any answer of a target that is leaving.
+	DrainHeader string
+	// EchoHeader repeats the request id in every answer; empty where targets
+	// do not echo it.
+	EchoHeader string
+	// DeadlineHeader carries the milliseconds that remain to the target.
+	DeadlineHeader string
+}
+
+// Route is one kind of request.
+type Route struct {
+	Name   id.Route
+	Method string
+	// Path is a prefix that ends at a slash or at the end of a path.
+	Path string
+	// Idempotent tells that the request may be run more than once.
+	Idempotent bool
+	// Long tells that the request runs many times longer than the others.
+	Long bool
+	// Timeout is the time that a request may take where its caller names none.
+	Timeout time.Duration
+}
+
+const (
+	maxSlots   = 10_000
+	maxTargets = 100_000
+	maxTimeout = time.Hour
+)
+
+// ParseService reads the value of one service.
+func ParseService(name string, data []byte) (Service, error) {
+	f := inifile.Parse(name, data)
+	s := f.Section("Service")
+	v := Service{
+		Name:          id.Service(s.Text("Name", "the name of the service")),
+		Slots:         unit.Slots(s.Int("Slots", 1, maxSlots)),
+		Connections:   s.Int("Connections", 1, maxSlots),
+		Floor:         unit.Targets(s.Int("Floor", 1, maxTargets)),
+		LongShare:     unit.Ratio(s.Float("LongShare", 0, 1)),
+		Queue:         s.Int("Queue", 0, maxSlots),
+		RetryShare:    unit.Ratio(s.Float("RetryShare", 0, 1)),
+		Attempts:      s.Int("Attempts", 1, 10),
+		Evidence:      s.Float("Evidence", 1, 100),
+		FirstEjection: s.Duration("FirstEjection", 100*time.Millisecond, time.Hour),
+		Warmup:        s.Duration("Warmup", 0, time.Hour),
+		Probe: Probe{
+			Path:    s.Text("ProbePath", "a path that starts with a slash"),
+			Every:   s.Duration("ProbeEvery", 100*time.Millisecond, time.Hour),
+			Timeout: s.Duration("ProbeTimeout", 10*time.Millisecond, time.Minute),
+		},
+		Target: Contract{
+			NotRunStatus:   s.IntOr("NotRunStatus", 400, 599, 0),
+			NotRunHeader:   s.TextOr("NotRunHeader", ""),
+			DrainHeader:    s.TextOr("DrainHeader", ""),
+			EchoHeader:     s.TextOr("EchoHeader", ""),
+			DeadlineHeader: s.TextOr("DeadlineHeader", ""),
+		},
+		Shares: make(map[id.Caller]int),
+	}
+	if v.Connections < int(v.Slots) {
+		s.Problem("Connections", "fewer than Slots", fmt.Sprintf("at least %d", v.Slots))
+	}
+	for _, r := range f.Sections("Route") {
+		v.Routes = append(v.Routes, readRoute(r))
+	}
+	for _, c := range f.Sections("Caller") {
+		v.Shares[id.Caller(c.OwnName())] = c.Int("Share", 1, 1000)
+	}
+	if len(v.Routes) == 0 {
+		s.Problem("", "service has no [Route name] section", "at least one route")
+	}
+	return v, f.Err()
+}
+
+var methods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"}
+
+func readRoute(s *inifile.Section) Route {
+	r := Route{
+		Name:       id.Route(s.OwnName()),
+		Method:     s.Choice("Method", methods...),
+		Path:       s.Text("Path", "a path that starts with a slash"),
+		Idempotent: s.Bool("Idempotent"),
+		Long:       s.Bool("Long"),
+		Timeout:    s.Duration("Timeout", time.Millisecond, maxTimeout),
+	}
+	if !strings.HasPrefix(r.Path, "/") {
+		s.Problem("Path", fmt.Sprintf("bad path %q", r.Path), "a path that starts with a slash")
+	}
+	return r
+}
--- /dev/null
+++ b/configuration/store.go
@@ -0,0 +1,97 @@
+package configuration
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/kernel"
+	"github.com/rs/zerolog"
+)
+
+// ServiceName is the name of the Store in the kernel.
+const ServiceName kernel.Name = "configuration"
+
+// Store holds the configuration in force. It starts empty and never goes back
+// to an earlier version.
+type Store struct {
+	log     zerolog.Logger
+	current atomic.Pointer[Snapshot]
+	refused atomic.Pointer[Refusal]
+	// conflicts counts offers whose number was in force with other contents.
+	conflicts atomic.Int64
+}
+
+// Refusal is the last configuration that was refused, and why.
+type Refusal struct {
+	Source string
+	Reason string
+}
+
+// NewStore returns an empty store.
+func NewStore(log zerolog.Logger) *Store { return &Store{log: log} }
+
+// Start does nothing: the store has no work of its own.
+func (s *Store) Start(context.Context, *kernel.Kernel) error { return nil }
+
+// Stop does nothing.
+func (s *Store) Stop(context.Context) error { return nil }
+
+// Current returns the configuration in force, or nil.
+func (s *Store) Current() *Snapshot { return s.current.Load() }
+
+// Version returns the version in force, or the zero version.
+func (s *Store) Version() id.ConfigVersion {
+	if c := s.Current(); c != nil {
+		return c.Version
+	}
+	return id.ConfigVersion{}
+}
+
+// Offer puts the documents in force if they are whole and newer than what is
+// in force. The source is named in the log.
+func (s *Store) Offer(docs Documents, source string) Verdict {
+	next, err := Compose(docs)
+	if err != nil {
+		s.refused.Store(&Refusal{Source: source, Reason: err.Error()})
+		s.log.Error().Str("Source", source).Err(err).Msg("configuration refused")
+		return Older
+	}
+	for {
+		old := s.current.Load()
+		inForce := id.ConfigVersion{}
+		if old != nil {
+			inForce = old.Version
+		}
+		verdict := Accept(inForce, next.Version)
+		if Conflict(inForce, next.Version) {
+			s.conflicts.Add(1)
+			s.log.Error().Str("Source", source).Stringer("InForce", inForce).Stringer("Offered", next.Version).
+				Msg("two configurations have the same version number")
+		}
+		if verdict != Accepted {
+			return verdict
+		}
+		if s.current.CompareAndSwap(old, next) {
+			s.log.Info().Str("Source", source).Stringer("Version", next.Version).Msg("configuration in force")
+			return Accepted
+		}
+	}
+}
+
+// StoreState is the store's part of a dump.
+type StoreState struct {
+	Version   id.ConfigVersion
+	Services  int
+	Conflicts int64
+	Refused   *Refusal
+}
+
+// State returns the version in force and the last refusal.
+func (s *Store) State() any {
+	st := StoreState{Version: s.Version(), Conflicts: s.conflicts.Load(), Refused: s.refused.Load()}
+	if c := s.Current(); c != nil {
+		st.Services = len(c.Services)
+	}
+	return st
+}
--- /dev/null
+++ b/dispatch/attempt.go
@@ -0,0 +1,167 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/exchange"
+	"github.com/briarrouter/briarrouter/outcome"
+	"github.com/briarrouter/briarrouter/schedule"
+	"github.com/briarrouter/briarrouter/work"
+)
+
+// attemptExchange is one attempt to run a request, from the granted slot to
+// the end of the answer.
+type attemptExchange struct {
+	service  *serviceDispatcher
+	ticket   schedule.Ticket
+	endpoint schedule.Endpoint
+	// cancel ends the request's context once nothing of it is left.
+	cancel  context.CancelFunc
+	started time.Time
+	result  schedule.Result
+}
+
+// run sends the request. Unless a streamed answer follows, the slot is free
+// again when it returns.
+func (x *attemptExchange) run(ctx context.Context, req *work.Request, route *configuration.Route, attempt int) exchange.Reply {
+	pool, contract := x.target()
+	x.started = time.Now()
+	if pool == nil || !x.started.Before(req.Deadline) {
+		x.end(outcome.NotWritten)
+		return exchange.Reply{Ending: outcome.NotWritten, Err: context.DeadlineExceeded}
+	}
+	reply := pool.Do(ctx, x.call(req, route, contract, attempt))
+	x.judge(&reply, contract)
+	if reply.Ending != outcome.Answered || reply.Rest == nil {
+		x.end(reply.Ending)
+	}
+	return reply
+}
+
+func (x *attemptExchange) target() (*exchange.Pool, configuration.Contract) {
+	s := x.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c := s.connections[x.endpoint.ID]; c != nil && c.endpoint.Address == x.endpoint.Address {
+		return c.pool, s.policy.Target
+	}
+	return nil, s.policy.Target
+}
+
+func (x *attemptExchange) call(req *work.Request, route *configuration.Route, contract configuration.Contract, attempt int) exchange.Call {
+	header := req.Header.Clone()
+	if header == nil {
+		header = make(http.Header)
+	}
+	attemptID := fmt.Sprintf("%s.%d", req.ID, attempt)
+	if contract.EchoHeader != "" {
+		header.Set(contract.EchoHeader, attemptID)
+	}
+	if contract.DeadlineHeader != "" {
+		left := req.Deadline.Sub(x.started).Milliseconds()
+		header.Set(contract.DeadlineHeader, strconv.FormatInt(left, 10))
+	}
+	maxIdle := idleLimit
+	if !route.Idempotent {
+		maxIdle = idleForUnsafe
+	}
+	return exchange.Call{
+		Method: req.Method, URI: req.URI, Host: req.Host, Header: header, Body: req.Body,
+		MaxIdle: maxIdle, EchoHeader: contract.EchoHeader, Echo: attemptID,
+	}
+}
+
+// judge draws the conclusions from the head of the answer.
+func (x *attemptExchange) judge(reply *exchange.Reply, contract configuration.Contract) {
+	x.result.Elapsed = time.Since(x.started)
+	if reply.Ending != outcome.Answered {
+		return
+	}
+	if contract.DrainHeader != "" && reply.Header.Get(contract.DrainHeader) != "" {
+		x.result.Draining = true
+	}
+	if declined(reply, contract) {
+		reply.Release()
+		if reply.Rest != nil {
+			reply.Rest.Close()
+		}
+		reply.Ending = outcome.Declined
+		return
+	}
+	x.result.Wrong = reply.Status >= http.StatusInternalServerError
+}
+
+// declined tells whether the answer is the one that the questionnaire declares
+// to mean "not run".
+func declined(reply *exchange.Reply, contract configuration.Contract) bool {
+	if contract.NotRunStatus == 0 || reply.Status != contract.NotRunStatus {
+		return false
+	}
+	return contract.NotRunHeader == "" || reply.Header.Get(contract.NotRunHeader) != ""
+}
+
+// end frees the slot.
+func (x *attemptExchange) end(e outcome.Ending) {
+	x.result.Ending = e
+	x.service.finish(x.ticket, x.result)
+}
+
+// answer passes a target's answer on.
+func (x *attemptExchange) answer(reply exchange.Reply) work.Answer {
+	a := work.Answer{
+		Outcome: outcome.Ran,
+		Status:  reply.Status,
+		Header:  reply.Header,
+		Held:    reply.Held,
+		Size:    reply.Size,
+	}
+	if reply.Rest == nil {
+		x.cancel()
+		a.Done = reply.Release
+		return a
+	}
+	a.Rest = &answerStream{ReadCloser: reply.Rest, attempt: x, release: reply.Release}
+	return a
+}
+
+// answerStream is a streamed answer that holds its slot to the end.
+type answerStream struct {
+	io.ReadCloser
+	attempt *attemptExchange
+	release func()
+	ended   bool
+}
+
+// Read frees the slot at the end of the answer, or at a cut.
+func (s *answerStream) Read(p []byte) (int, error) {
+	n, err := s.ReadCloser.Read(p)
+	switch {
+	case err == io.EOF:
+		s.end(outcome.Answered)
+	case err != nil:
+		s.end(outcome.Truncated)
+	}
+	return n, err
+}
+
+// Close frees the slot where the answer was not read to its end.
+func (s *answerStream) Close() error {
+	s.end(outcome.Cancelled)
+	return s.ReadCloser.Close()
+}
+
+func (s *answerStream) end(e outcome.Ending) {
+	if s.ended {
+		return
+	}
+	s.ended = true
+	s.attempt.end(e)
+	s.attempt.cancel()
+	s.release()
+}
--- /dev/null
+++ b/dispatch/dispatcher.go
@@ -0,0 +1,170 @@
+// Package dispatch runs requests on the targets of the services that this
+// daemon dispatches. Package schedule decides; this one keeps the connections
+// and waits.
+package dispatch
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/exchange"
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/kernel"
+	"github.com/briarrouter/briarrouter/memory"
+	"github.com/briarrouter/briarrouter/outcome"
+	"github.com/briarrouter/briarrouter/quarantine"
+	"github.com/briarrouter/briarrouter/schedule"
+	"github.com/briarrouter/briarrouter/unit"
+	"github.com/briarrouter/briarrouter/work"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+)
+
+// ServiceName is the name of the Dispatcher in the kernel.
+const ServiceName kernel.Name = "dispatch"
+
+// targetLists gives the platform's lists of targets.
+type targetLists interface {
+	WatchTargets(ctx context.Context, group *conc.WaitGroup, s id.Service, take func([]schedule.Endpoint))
+}
+
+// policies gives the configuration in force.
+type policies interface {
+	Current() *configuration.Snapshot
+}
+
+// Config makes a Dispatcher.
+type Config struct {
+	Log    zerolog.Logger
+	Scope  tally.Scope
+	Memory *memory.Gate
+	// AnswerBuffer is the largest answer that is held whole.
+	AnswerBuffer unit.Bytes
+	// Seed makes the choices between equal targets.
+	Seed uint64
+}
+
+// Dispatcher runs requests on the targets of the services that this daemon
+// dispatches. A service is taken up by its first request.
+type Dispatcher struct {
+	cfg      Config
+	lists    targetLists
+	policies policies
+	context  context.Context
+	cancel   context.CancelFunc
+
+	mu sync.Mutex
+	// services has an entry for each service that was taken up.
+	services map[id.Service]*serviceDispatcher
+	// known holds the quarantines of the whole fleet, as far as they were
+	// heard of.
+	known *quarantine.Table
+}
+
+// New returns a dispatcher without services.
+func New(cfg Config) *Dispatcher {
+	return &Dispatcher{cfg: cfg, services: make(map[id.Service]*serviceDispatcher), known: quarantine.New()}
+}
+
+// Start finds the lists of targets and the policies.
+func (d *Dispatcher) Start(_ context.Context, k *kernel.Kernel) error {
+	var err error
+	if d.lists, err = kernel.Find[targetLists](k, "platform"); err != nil {
+		return err
+	}
+	if d.policies, err = kernel.Find[policies](k, configuration.ServiceName); err != nil {
+		return err
+	}
+	d.context, d.cancel = context.WithCancel(context.Background())
+	return nil
+}
+
+// Stop ends the services. Requests in progress must have ended.
+func (d *Dispatcher) Stop(context.Context) error {
+	d.cancel()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.services {
+		s.stop()
+	}
+	return nil
+}
+
+// Run runs a request on a target of its service and returns the answer.
+func (d *Dispatcher) Run(ctx context.Context, req *work.Request, m configuration.Match) work.Answer {
+	if d.quarantined(req.Fingerprint()) {
+		return work.Refuse(outcome.NotRun, http.StatusServiceUnavailable, work.Quarantined)
+	}
+	return d.service(m.Service).handle(ctx, req, m.Route)
+}
+
+// Prepare takes a service up before its first request, so that its targets are
+// known.
+func (d *Dispatcher) Prepare(s *configuration.Service) { d.service(s) }
+
+func (d *Dispatcher) service(policy *configuration.Service) *serviceDispatcher {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.services[policy.Name]
+	if s == nil {
+		s = newServiceDispatcher(d, policy, rand.New(rand.NewPCG(d.cfg.Seed, uint64(len(d.services)))))
+		d.services[policy.Name] = s
+		s.start(d.context)
+	}
+	return s
+}
+
+func (d *Dispatcher) quarantined(f work.Fingerprint) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.known.Quarantined(time.Now(), f)
+}
+
+// Notices returns the quarantines to tell a peer.
+func (d *Dispatcher) Notices(n int) []quarantine.Notice {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.known.Notices(time.Now(), n)
+}
+
+// Learn takes quarantines from a peer or from a service.
+func (d *Dispatcher) Learn(notices []quarantine.Notice) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.known.Expire(time.Now())
+	d.known.Learn(time.Now(), notices)
+}
+
+// ServiceState is one service's part of a dump.
+type ServiceState struct {
+	Service     id.Service
+	Scheduler   schedule.State
+	Suspects    quarantine.State
+	RetryTokens float64
+	Connections map[id.Target]exchange.State
+}
+
+// DispatcherState is the dispatcher's part of a dump.
+type DispatcherState struct {
+	Quarantine quarantine.State
+	Services   []ServiceState
+}
+
+// State returns the state of each service that was taken up.
+func (d *Dispatcher) State() any {
+	d.mu.Lock()
+	st := DispatcherState{Quarantine: d.known.State()}
+	services := maps.Clone(d.services)
+	d.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(services)) {
+		st.Services = append(st.Services, services[name].state())
+	}
+	return st
+}
--- /dev/null
+++ b/dispatch/service.go
@@ -0,0 +1,384 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/exchange"
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/outcome"
+	"github.com/briarrouter/briarrouter/quarantine"
+	"github.com/briarrouter/briarrouter/retry"
+	"github.com/briarrouter/briarrouter/schedule"
+	"github.com/briarrouter/briarrouter/work"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+)
+
+// serviceDispatcher carries out the decisions of one service's scheduler.
+type serviceDispatcher struct {
+	owner *Dispatcher
+	name  id.Service
+	log   zerolog.Logger
+	scope tally.Scope
+
+	mu        sync.Mutex
+	policy    *configuration.Service
+	scheduler *schedule.Scheduler
+	suspects  *quarantine.Table
+	budget    *retry.Budget
+	random    *rand.Rand
+	// waiting has a channel, with room for one decision, for each job that the
+	// scheduler lets wait.
+	waiting map[schedule.Ticket]chan schedule.Decision
+	// last is the ticket that was given last.
+	last schedule.Ticket
+	// connections has an entry for each listed target.
+	connections map[id.Target]*connection
+	// listed is closed when the first list of targets came.
+	listed chan struct{}
+	// used is when the last request came; probes stop when the service lies
+	// idle here, because another daemon dispatches it.
+	used time.Time
+
+	cancel context.CancelFunc
+	group  conc.WaitGroup
+}
+
+// connection is what the dispatcher keeps open for one target.
+type connection struct {
+	endpoint schedule.Endpoint
+	pool     *exchange.Pool
+	cancel   context.CancelFunc
+}
+
+func newServiceDispatcher(owner *Dispatcher, policy *configuration.Service, random *rand.Rand) *serviceDispatcher {
+	table := quarantine.New()
+	return &serviceDispatcher{
+		owner:       owner,
+		name:        policy.Name,
+		log:         owner.cfg.Log.With().Str("Service", string(policy.Name)).Logger(),
+		scope:       owner.cfg.Scope.Tagged(map[string]string{"service": string(policy.Name)}),
+		policy:      policy,
+		scheduler:   schedule.New(policy, table, random),
+		suspects:    table,
+		budget:      retry.NewBudget(policy.RetryShare),
+		random:      random,
+		waiting:     make(map[schedule.Ticket]chan schedule.Decision),
+		connections: make(map[id.Target]*connection),
+		listed:      make(chan struct{}),
+	}
+}
+
+func (s *serviceDispatcher) start(ctx context.Context) {
+	ctx, s.cancel = context.WithCancel(ctx)
+	s.owner.lists.WatchTargets(ctx, &s.group, s.name, func(list []schedule.Endpoint) { s.setTargets(ctx, list) })
+	s.group.Go(func() { s.loop(ctx) })
+}
+
+func (s *serviceDispatcher) stop() {
+	s.cancel()
+	s.group.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.connections {
+		c.pool.Close()
+	}
+}
+
+// tick is the time between two ticks of a scheduler.
+const tick = 50 * time.Millisecond
+
+func (s *serviceDispatcher) loop(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			s.tick(now)
+		}
+	}
+}
+
+func (s *serviceDispatcher) tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.takePolicy()
+	before := s.scheduler.Counts()
+	s.scheduler.Tick(now)
+	s.report(before)
+	s.deliver(now)
+	for _, c := range s.connections {
+		c.pool.Trim(now)
+	}
+}
+
+// takePolicy puts the policy in force that the configuration gives now.
+func (s *serviceDispatcher) takePolicy() {
+	current := s.owner.policies.Current()
+	if current == nil {
+		return
+	}
+	if next := current.Services[s.name]; next != nil && next != s.policy {
+		s.policy = next
+		s.scheduler.SetPolicy(next)
+		s.budget.SetShare(next.RetryShare)
+	}
+}
+
+// deliver hands out the scheduler's decisions about waiting jobs.
+func (s *serviceDispatcher) deliver(now time.Time) {
+	for _, e := range s.scheduler.Next(now) {
+		s.waiting[e.Ticket] <- e.Decision
+		delete(s.waiting, e.Ticket)
+	}
+}
+
+// report logs and counts what the scheduler decided since before.
+func (s *serviceDispatcher) report(before schedule.Counts) {
+	after := s.scheduler.Counts()
+	s.scope.Counter("ejections").Inc(after.Ejected - before.Ejected)
+	s.scope.Counter("quarantines").Inc(after.Quarantined - before.Quarantined)
+	if after.Ejected > before.Ejected {
+		s.log.Warn().Int64("Targets", after.Ejected-before.Ejected).Msg("targets ejected")
+	}
+	if after.Quarantined > before.Quarantined {
+		s.log.Warn().Int64("Requests", after.Quarantined-before.Quarantined).Msg("requests quarantined")
+		s.owner.Learn(s.suspects.Notices(time.Now(), maxNotices))
+	}
+}
+
+// maxNotices bounds the quarantines that a service passes on at once.
+const maxNotices = 16
+
+func (s *serviceDispatcher) setTargets(ctx context.Context, list []schedule.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.scheduler.SetTargets(now, list)
+	next := make(map[id.Target]*connection)
+	for _, e := range list {
+		next[e.ID] = s.connection(ctx, e)
+	}
+	for name, c := range s.connections {
+		if next[name] != c {
+			c.cancel()
+			c.pool.Close()
+		}
+	}
+	s.connections = next
+	select {
+	case <-s.listed:
+	default:
+		close(s.listed)
+	}
+	s.deliver(now)
+}
+
+const (
+	dialTimeout   = time.Second
+	idleLimit     = 30 * time.Second
+	answerHead    = 64 << 10
+	idleForUnsafe = time.Second
+)
+
+// connection returns the open connections of a target, or starts new ones with
+// a task that probes the target.
+func (s *serviceDispatcher) connection(ctx context.Context, e schedule.Endpoint) *connection {
+	if c := s.connections[e.ID]; c != nil && c.endpoint.Address == e.Address {
+		return c
+	}
+	pool := exchange.New(exchange.Config{
+		Address:      e.Address,
+		Connections:  s.policy.Connections,
+		DialTimeout:  dialTimeout,
+		IdleLimit:    idleLimit,
+		HeadLimit:    answerHead,
+		AnswerBuffer: s.owner.cfg.AnswerBuffer,
+		Memory:       s.owner.cfg.Memory,
+	})
+	ctx, cancel := context.WithCancel(ctx)
+	p := &prober{service: s, endpoint: e, pool: pool}
+	s.group.Go(func() { p.loop(ctx) })
+	return &connection{endpoint: e, pool: pool, cancel: cancel}
+}
+
+// handle runs a request: it waits for a slot, sends the request, and tries
+// again where that is safe and allowed.
+func (s *serviceDispatcher) handle(ctx context.Context, req *work.Request, route *configuration.Route) work.Answer {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	s.begin(ctx)
+	job := schedule.Job{Caller: req.Caller, Route: route, Fingerprint: req.Fingerprint(), Deadline: req.Deadline}
+	known := outcome.NotRun
+	for attempt := 1; ; attempt++ {
+		decision := s.acquire(ctx, &job)
+		if decision.Kind == schedule.Refused {
+			cancel()
+			return refusal(known, decision)
+		}
+		x := &attemptExchange{service: s, ticket: job.Ticket, endpoint: decision.Endpoint, cancel: cancel}
+		reply := x.run(ctx, req, route, attempt)
+		if reply.Ending == outcome.Answered {
+			return x.answer(reply)
+		}
+		known = outcome.Join(known, reply.Ending.Outcome())
+		s.log.Debug().Str("Target", string(decision.Endpoint.ID)).Str("Ending", string(reply.Ending)).
+			Str("Request", string(req.ID)).AnErr("Cause", reply.Err).Msg("attempt failed")
+		if !s.mayRetry(reply.Ending, attempt, req, route) {
+			cancel()
+			return failure(known, reply.Ending)
+		}
+		job.Tried = append(job.Tried, decision.Endpoint.ID)
+		s.backoff(ctx, attempt)
+	}
+}
+
+// begin counts a first attempt and waits for the first list of targets.
+func (s *serviceDispatcher) begin(ctx context.Context) {
+	s.mu.Lock()
+	s.budget.Attempt()
+	s.used = time.Now()
+	s.mu.Unlock()
+	select {
+	case <-s.listed:
+	case <-ctx.Done():
+	}
+}
+
+// acquire waits for a slot. It gives the job a new ticket.
+func (s *serviceDispatcher) acquire(ctx context.Context, job *schedule.Job) schedule.Decision {
+	decision, wait := s.arrive(job)
+	if decision.Kind != schedule.Waiting {
+		return decision
+	}
+	select {
+	case decision = <-wait:
+		return decision
+	case <-ctx.Done():
+		return s.withdraw(job.Ticket, wait)
+	}
+}
+
+func (s *serviceDispatcher) arrive(job *schedule.Job) (schedule.Decision, chan schedule.Decision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.last++
+	job.Ticket = s.last
+	decision := s.scheduler.Arrive(now, *job)
+	if decision.Kind != schedule.Waiting {
+		return decision, nil
+	}
+	wait := make(chan schedule.Decision, 1)
+	s.waiting[job.Ticket] = wait
+	s.deliver(now)
+	return decision, wait
+}
+
+// withdraw takes a job out whose context ended. A slot that was granted in
+// the same moment is given back.
+func (s *serviceDispatcher) withdraw(ticket schedule.Ticket, wait chan schedule.Decision) schedule.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.scheduler.Withdraw(ticket)
+	delete(s.waiting, ticket)
+	select {
+	case d := <-wait:
+		if d.Kind == schedule.Granted {
+			s.scheduler.Finish(now, ticket, schedule.Result{Ending: outcome.NotWritten})
+			s.deliver(now)
+		}
+	default:
+	}
+	return schedule.Decision{Kind: schedule.Refused, Reason: work.DeadlinePassed}
+}
+
+func (s *serviceDispatcher) finish(ticket schedule.Ticket, r schedule.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	before := s.scheduler.Counts()
+	s.scheduler.Finish(now, ticket, r)
+	s.report(before)
+	s.deliver(now)
+}
+
+// maxDials bounds the targets that are tried while none can be reached.
+const maxDials = 10
+
+func (s *serviceDispatcher) mayRetry(e outcome.Ending, attempt int, req *work.Request, route *configuration.Route) bool {
+	if e == outcome.DialFailed {
+		return attempt < maxDials
+	}
+	if !e.Retryable(route.Idempotent) || !req.Body.Replayable() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if attempt >= s.policy.Attempts || !s.budget.TryTake() {
+		return false
+	}
+	s.scope.Counter("retries").Inc(1)
+	return true
+}
+
+func (s *serviceDispatcher) backoff(ctx context.Context, attempt int) {
+	s.mu.Lock()
+	wait := retry.Backoff(attempt, s.random)
+	s.mu.Unlock()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// refusal is the answer where the scheduler refuses.
+func refusal(known outcome.Outcome, d schedule.Decision) work.Answer {
+	status := http.StatusServiceUnavailable
+	if known == outcome.Unknown {
+		status = http.StatusBadGateway
+	}
+	a := work.Refuse(known, status, d.Reason)
+	a.RetryAfter = d.RetryAfter
+	return a
+}
+
+// failure is the answer where the last attempt failed.
+func failure(known outcome.Outcome, e outcome.Ending) work.Answer {
+	switch {
+	case e == outcome.TimedOut:
+		return work.Refuse(known, http.StatusGatewayTimeout, work.DeadlinePassed)
+	case e == outcome.Cancelled:
+		return work.Refuse(known, http.StatusGatewayTimeout, work.CallerGone)
+	case known == outcome.NotRun:
+		return work.Refuse(known, http.StatusServiceUnavailable, work.TargetFailed)
+	default:
+		return work.Refuse(known, http.StatusBadGateway, work.TargetFailed)
+	}
+}
+
+func (s *serviceDispatcher) state() ServiceState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := ServiceState{
+		Service:     s.name,
+		Scheduler:   s.scheduler.State(time.Now()),
+		Suspects:    s.suspects.State(),
+		RetryTokens: s.budget.Tokens(),
+		Connections: make(map[id.Target]exchange.State),
+	}
+	for name, c := range s.connections {
+		st.Connections[name] = c.pool.State()
+	}
+	return st
+}
--- /dev/null
+++ b/exchange/conn.go
@@ -0,0 +1,114 @@
+// Package exchange runs one HTTP request at a time on a connection to a target
+// or to a peer, and says exactly how far it came. It never sends a request
+// twice and never reuses a connection whose last exchange is in doubt.
+package exchange
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/briarrouter/briarrouter/unit"
+)
+
+// conn is one connection. It counts what is written and bounds what is read,
+// so that the caller of an exchange knows whether a byte left.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// written counts the bytes that the current exchange handed over.
+	written int64
+	// readLimit is how many bytes may still be read.
+	readLimit int64
+	// idleSince is when the last exchange ended; zero on a new connection.
+	idleSince time.Time
+}
+
+var errHeadTooLarge = errors.New("head of the answer is too large")
+
+func newConn(nc net.Conn) *conn {
+	c := &conn{Conn: nc, readLimit: math.MaxInt64}
+	c.reader = bufio.NewReader(limited{c})
+	return c
+}
+
+// limited reads from a connection within its limit.
+type limited struct{ conn *conn }
+
+func (l limited) Read(p []byte) (int, error) {
+	c := l.conn
+	if c.readLimit <= 0 {
+		return 0, errHeadTooLarge
+	}
+	if int64(len(p)) > c.readLimit {
+		p = p[:c.readLimit]
+	}
+	n, err := c.Conn.Read(p)
+	c.readLimit -= int64(n)
+	return n, err
+}
+
+// Write counts the bytes that the kernel took.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written += int64(n)
+	return n, err
+}
+
+// begin prepares the connection for an exchange.
+func (c *conn) begin(headLimit unit.Bytes) {
+	c.written = 0
+	c.readLimit = int64(headLimit)
+}
+
+// headDone lifts the limit: the body has limits of its own.
+func (c *conn) headDone() { c.readLimit = math.MaxInt64 }
+
+// interrupt makes every read and write of the connection fail now.
+func (c *conn) interrupt() { c.SetDeadline(time.Unix(1, 0)) }
+
+var errUnexpectedBytes = errors.New("bytes arrived outside of an exchange")
+
+// alive tells whether an idle connection is still open and silent. It asks the
+// operating system without waiting.
+func (c *conn) alive() error {
+	if c.reader.Buffered() > 0 {
+		return errUnexpectedBytes
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var peekErr error
+	err = raw.Read(func(fd uintptr) bool {
+		peekErr = peek(int(fd))
+		return true
+	})
+	if err != nil {
+		return err
+	}
+	return peekErr
+}
+
+func peek(fd int) error {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch {
+	case errors.Is(err, syscall.EAGAIN), errors.Is(err, syscall.EINTR):
+		return nil
+	case err != nil:
+		return err
+	case n > 0:
+		return errUnexpectedBytes
+	default:
+		return io.EOF
+	}
+}
--- /dev/null
+++ b/kernel/kernel_test.go
@@ -0,0 +1,61 @@
+package kernel
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+)
+
+// recorder is a service that writes down what happens to it.
+type recorder struct {
+	name Name
+	out  *strings.Builder
+	fail error
+}
+
+func (r *recorder) Start(context.Context, *Kernel) error {
+	fmt.Fprintln(r.out, "start", r.name)
+	return r.fail
+}
+
+func (r *recorder) Stop(context.Context) error {
+	fmt.Fprintln(r.out, "stop", r.name)
+	return nil
+}
+
+func (r *recorder) State() any { return "state of " + string(r.name) }
+
+// TestOrder starts and stops services, and lets the last one fail.
+func TestOrder(t *testing.T) {
+	var out strings.Builder
+	for _, fail := range []error{nil, errors.New("no address")} {
+		k := New()
+		for _, name := range []Name{"first", "second"} {
+			k.Register(name, &recorder{name: name, out: &out})
+		}
+		k.Register("third", &recorder{name: "third", out: &out, fail: fail})
+		fmt.Fprintln(&out, "error:", k.Start(t.Context()))
+		fmt.Fprintln(&out, "dump:", k.Dump())
+		require.NoError(t, k.Stop(t.Context()))
+	}
+	goldie.New(t).Assert(t, "order", []byte(out.String()))
+}
+
+// TestFind finds a service by the interface of its user.
+func TestFind(t *testing.T) {
+	k := New()
+	k.Register("recorder", &recorder{name: "recorder"})
+	found, err := Find[interface{ State() any }](k, "recorder")
+	require.NoError(t, err)
+	require.Equal(t, "state of recorder", found.State())
+	_, err = Find[interface{ Missing() }](k, "recorder")
+	require.ErrorContains(t, err, "lacks what its user needs")
+	_, err = Find[Service](k, "other")
+	require.ErrorContains(t, err, `no service "other"`)
+	require.Panics(t, func() { k.Register("recorder", &recorder{}) })
+}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,116 @@
+// Package operator speaks HTTP to operators: the dump of the process's state,
+// its metrics, and whether it is ready.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/kernel"
+	"github.com/julienschmidt/httprouter"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+)
+
+// ServiceName is the name of the Server in the kernel.
+const ServiceName kernel.Name = "operator"
+
+// Paths of the operator's address.
+const (
+	DumpPath    = "/dump"
+	MetricsPath = "/metrics"
+	ReadyPath   = "/ready"
+	ProfilePath = "/debug/pprof/profile"
+)
+
+// metrics writes the metrics of the process.
+type metrics interface {
+	Handler() http.Handler
+}
+
+// readiness tells whether the process serves callers.
+type readiness interface {
+	Ready() bool
+}
+
+// Config makes a Server.
+type Config struct {
+	Address id.Address
+	Log     zerolog.Logger
+}
+
+// Server is the front end for operators.
+type Server struct {
+	cfg    Config
+	kernel *kernel.Kernel
+	server *http.Server
+	group  conc.WaitGroup
+}
+
+// New returns a server that does not listen yet.
+func New(cfg Config) *Server { return &Server{cfg: cfg} }
+
+// headerTimeout bounds the reading of an operator's request.
+const headerTimeout = 5 * time.Second
+
+// Start begins to listen.
+func (s *Server) Start(_ context.Context, k *kernel.Kernel) error {
+	s.kernel = k
+	found, err := kernel.Find[metrics](k, "metric")
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", string(s.cfg.Address))
+	if err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	r := httprouter.New()
+	r.GET(DumpPath, s.dump)
+	r.GET(ReadyPath, s.ready)
+	r.Handler(http.MethodGet, MetricsPath, found.Handler())
+	r.HandlerFunc(http.MethodGet, ProfilePath, pprof.Profile)
+	s.server = &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout}
+	s.group.Go(func() { s.run(listener) })
+	return nil
+}
+
+func (s *Server) run(listener net.Listener) {
+	if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		s.cfg.Log.Error().Err(err).Msg("listener for operators ended")
+	}
+}
+
+// Stop ends the listener.
+func (s *Server) Stop(ctx context.Context) error {
+	err := s.server.Shutdown(ctx)
+	s.group.Wait()
+	return err
+}
+
+// State returns nothing of its own.
+func (s *Server) State() any { return nil }
+
+func (s *Server) dump(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(s.kernel.Dump()); err != nil {
+		s.cfg.Log.Error().Err(err).Msg("dump was not written")
+	}
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	found, err := kernel.Find[readiness](s.kernel, "peer")
+	if err != nil || !found.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ready")
+}
--- /dev/null
+++ b/outcome/outcome_test.go
@@ -0,0 +1,31 @@
+package outcome
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+// TestEndings shows, for each ending, what it proves and whether a retry is
+// allowed.
+func TestEndings(t *testing.T) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%-12s %-8s %-22s %s\n", "Ending", "Outcome", "RetryNotIdempotent", "RetryIdempotent")
+	for _, e := range Endings {
+		fmt.Fprintf(&b, "%-12s %-8s %-22v %v\n", e, e.Outcome(), e.Retryable(false), e.Retryable(true))
+	}
+	goldie.New(t).Assert(t, "endings", []byte(b.String()))
+}
+
+// TestJoin shows that proof about one attempt never covers another.
+func TestJoin(t *testing.T) {
+	var b strings.Builder
+	for _, earlier := range []Outcome{NotRun, Unknown} {
+		for _, last := range []Outcome{Ran, NotRun, Unknown} {
+			fmt.Fprintf(&b, "%-8s then %-8s = %s\n", earlier, last, Join(earlier, last))
+		}
+	}
+	goldie.New(t).Assert(t, "join", []byte(b.String()))
+}
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,370 @@
+// Package peer speaks to the other daemons: it probes them, exchanges news of
+// the roster, of configurations and of quarantines, and relays requests.
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/kernel"
+	"github.com/briarrouter/briarrouter/memory"
+	"github.com/briarrouter/briarrouter/peer/peerpb"
+	"github.com/briarrouter/briarrouter/quarantine"
+	"github.com/briarrouter/briarrouter/roster"
+	"github.com/briarrouter/briarrouter/router"
+	"github.com/briarrouter/briarrouter/settings"
+	"github.com/briarrouter/briarrouter/work"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+)
+
+// ServiceName is the name of the Service in the kernel.
+const ServiceName kernel.Name = "peer"
+
+// store holds the configuration in force.
+type store interface {
+	Current() *configuration.Snapshot
+	Version() id.ConfigVersion
+	Offer(docs configuration.Documents, source string) configuration.Verdict
+}
+
+// quarantines is what the daemon knows about requests that crash targets.
+type quarantines interface {
+	Notices(n int) []quarantine.Notice
+	Learn(notices []quarantine.Notice)
+}
+
+// handler answers requests that peers relay.
+type handler interface {
+	HandleRelayed(ctx context.Context, req *work.Request, purpose router.Purpose) work.Answer
+}
+
+// Config makes a Service.
+type Config struct {
+	// Self is this daemon's first statement about itself.
+	Self   roster.Member
+	Limits settings.Limits
+	Timing settings.Timing
+	Memory *memory.Gate
+	Scope  tally.Scope
+	Log    zerolog.Logger
+	// Seed makes the order of probes.
+	Seed uint64
+}
+
+// Service is this daemon among its peers.
+type Service struct {
+	cfg         Config
+	store       store
+	quarantines quarantines
+	// kernel is where the handler of relayed requests is found once it is
+	// registered; it needs this service, so it starts later.
+	kernel *kernel.Kernel
+	server *http.Server
+	cancel context.CancelFunc
+	ctx    context.Context
+	group  conc.WaitGroup
+
+	mu    sync.Mutex
+	table *roster.Table
+	// links has an entry for each member with an address, but this daemon.
+	links map[id.Host]*link
+	// answered lists the peers that answered since the start.
+	answered map[id.Host]bool
+	started  time.Time
+	leaving  bool
+}
+
+// New returns a service that knows no peer yet.
+func New(cfg Config) *Service {
+	random := rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Self.Incarnation)))
+	cfg.Self.State = roster.Joining
+	return &Service{
+		cfg:      cfg,
+		table:    roster.New(roster.Config{Self: cfg.Self, Suspect: cfg.Timing.Suspect, Random: random}),
+		links:    make(map[id.Host]*link),
+		answered: make(map[id.Host]bool),
+	}
+}
+
+// headerTimeout bounds the reading of a peer's request head.
+const headerTimeout = 5 * time.Second
+
+// Start begins to listen to peers and to probe them.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
+	s.kernel = k
+	var err error
+	if s.store, err = kernel.Find[store](k, configuration.ServiceName); err != nil {
+		return err
+	}
+	if s.quarantines, err = kernel.Find[quarantines](k, "dispatch"); err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", string(s.cfg.Self.Peers))
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	s.server = &http.Server{
+		Handler:           s.routes(),
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    2 * int(s.cfg.Limits.RequestHeader),
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.started = time.Now()
+	s.group.Go(func() { s.run(listener) })
+	s.group.Go(func() { s.loop(s.ctx) })
+	return nil
+}
+
+func (s *Service) run(listener net.Listener) {
+	if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		s.cfg.Log.Error().Err(err).Msg("listener for peers ended")
+	}
+}
+
+// Stop ends the probes and waits for relayed requests to end.
+func (s *Service) Stop(ctx context.Context) error {
+	err := s.server.Shutdown(ctx)
+	s.cancel()
+	s.group.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.links {
+		l.close()
+	}
+	return err
+}
+
+// SetListed takes the platform's list of daemons.
+func (s *Service) SetListed(list []roster.Listed) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.SetListed(time.Now(), list)
+	s.connect()
+}
+
+// Self returns this daemon's own statement.
+func (s *Service) Self() roster.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Self()
+}
+
+// Members returns every daemon that is known, with this one.
+func (s *Service) Members() []roster.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Members()
+}
+
+// Find returns the daemon that runs the given incarnation.
+func (s *Service) Find(i id.Incarnation) (roster.Member, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Find(i)
+}
+
+// Ready tells whether this daemon serves callers.
+func (s *Service) Ready() bool { return s.Self().State == roster.Alive }
+
+// Leave makes this daemon leave the answers to callers, and tells the peers at
+// once.
+func (s *Service) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	s.table.SetState(roster.Leaving)
+	for _, l := range s.links {
+		l.wake()
+	}
+}
+
+// State is this daemon's view of the roster.
+func (s *Service) State() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return State{Self: s.table.Self(), Members: s.table.Members()}
+}
+
+// State is the peer service's part of a dump.
+type State struct {
+	Self    roster.Member
+	Members []roster.Member
+}
+
+// connect makes a link for each member that has none, and ends the links of
+// those that are gone. The lock is held.
+func (s *Service) connect() {
+	wanted := make(map[id.Host]bool)
+	for _, m := range s.table.Members() {
+		if m.Host == s.cfg.Self.Host || m.Peers == "" {
+			continue
+		}
+		wanted[m.Host] = true
+		if l := s.links[m.Host]; l != nil && l.address == m.Peers {
+			continue
+		}
+		s.replaceLink(m)
+	}
+	for host, l := range s.links {
+		if !wanted[host] {
+			l.close()
+			delete(s.links, host)
+		}
+	}
+}
+
+func (s *Service) replaceLink(m roster.Member) {
+	if old := s.links[m.Host]; old != nil {
+		old.close()
+	}
+	l := newLink(s, m)
+	s.links[m.Host] = l
+	s.group.Go(func() { l.run(l.ctx) })
+}
+
+func (s *Service) link(host id.Host) *link {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.links[host]
+}
+
+// loop gives the links their turns to probe and lets time pass for the roster.
+func (s *Service) loop(ctx context.Context) {
+	last := time.Now()
+	for {
+		timer := time.NewTimer(s.interval())
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case now := <-timer.C:
+			s.turn(now, now.Sub(last))
+			last = now
+		}
+	}
+}
+
+// joinInterval is the time between probes while this daemon joins.
+const joinInterval = 50 * time.Millisecond
+
+func (s *Service) interval() time.Duration {
+	if s.Self().State == roster.Joining {
+		return joinInterval
+	}
+	return s.cfg.Timing.Probe
+}
+
+// pauseFactor times the probe interval is the gap between two turns that shows
+// that the process was paused.
+const pauseFactor = 3
+
+func (s *Service) turn(now time.Time, gap time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if gap > pauseFactor*s.cfg.Timing.Probe {
+		s.cfg.Log.Warn().Dur("Gap", gap).Msg("process was paused; suspicions start anew")
+		s.table.Woke(now)
+	}
+	s.table.Tick(now)
+	s.join(now)
+	s.connect()
+	if m, ok := s.table.NextProbe(); ok {
+		if l := s.links[m.Host]; l != nil {
+			l.wake()
+		}
+	}
+}
+
+// enoughPeers is how many peers a starting daemon hears before it trusts that
+// its configuration is not an old one.
+const enoughPeers = 3
+
+// enoughPeers returns how many peers this daemon has to hear: fewer where
+// fewer are listed. Before the first list it cannot tell.
+func (s *Service) enoughPeers() int {
+	if others := len(s.table.Members()) - 1; others > 0 {
+		return min(enoughPeers, others)
+	}
+	return enoughPeers
+}
+
+// join makes this daemon ready once it has a configuration and asked enough
+// peers. Where no peer answers in time it trusts the platform alone: refusing
+// to serve would leave callers without any daemon after a start of the whole
+// fleet.
+func (s *Service) join(now time.Time) {
+	if s.table.Self().State != roster.Joining || s.store.Current() == nil {
+		return
+	}
+	if len(s.answered) < s.enoughPeers() && now.Sub(s.started) < s.cfg.Timing.Join {
+		return
+	}
+	s.table.SetState(roster.Alive)
+	s.cfg.Log.Info().Int("Peers", len(s.answered)).Stringer("Version", s.store.Version()).Msg("ready")
+	for _, l := range s.links {
+		l.wake()
+	}
+}
+
+const (
+	// maxMembers bounds the statements in a message.
+	maxMembers = 8
+	// maxNotices bounds the quarantines in a message.
+	maxNotices = 8
+)
+
+// news returns what a message to the receiver carries.
+func (s *Service) news(receiver id.Host) *peerpb.News {
+	notices := s.quarantines.Notices(maxNotices)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return encodeNews(s.table.Self(), s.table.News(maxMembers, receiver), s.store.Version(), notices)
+}
+
+// heard takes the news of a peer that answered or asked.
+func (s *Service) heard(n *peerpb.News) {
+	from := decodeMember(n.GetFrom())
+	s.mu.Lock()
+	now := time.Now()
+	if from.Host != s.cfg.Self.Host {
+		s.table.Heard(now, from)
+		s.answered[from.Host] = true
+	}
+	s.table.Merge(now, decodeMembers(n.GetMembers()))
+	s.connect()
+	l := s.links[from.Host]
+	s.mu.Unlock()
+	s.quarantines.Learn(decodeNotices(n.GetNotices()))
+	if l != nil {
+		l.offer(decodeVersion(n.GetInForce()))
+	}
+}
+
+func (s *Service) missed(host id.Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Missed(time.Now(), host)
+	s.cfg.Log.Debug().Str("Peer", string(host)).Msg("peer did not answer")
+}
+
+func (s *Service) helpers(except id.Host) []*link {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*link
+	for _, m := range s.table.Helpers(helpers, except) {
+		if l := s.links[m.Host]; l != nil {
+			list = append(list, l)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/peer/relay.go
@@ -0,0 +1,188 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/briarrouter/briarrouter/exchange"
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/kernel"
+	"github.com/briarrouter/briarrouter/message"
+	"github.com/briarrouter/briarrouter/outcome"
+	"github.com/briarrouter/briarrouter/roster"
+	"github.com/briarrouter/briarrouter/router"
+	"github.com/briarrouter/briarrouter/work"
+)
+
+// relayPath stands before the path of a relayed request.
+const relayPath = "/relay"
+
+// Fields of relayed requests.
+const (
+	callerField      = message.Prefix + "Caller"
+	keyField         = message.Prefix + "Key"
+	deadlineField    = message.Prefix + "Deadline-Ms"
+	hopsField        = message.Prefix + "Hops"
+	purposeField     = message.Prefix + "Purpose"
+	incarnationField = message.Prefix + "Incarnation"
+	fromField        = message.Prefix + "From"
+	versionField     = message.Prefix + "Version"
+)
+
+// Relay sends a request to a peer.
+func (s *Service) Relay(ctx context.Context, to roster.Member, req *work.Request, purpose router.Purpose) (work.Answer, outcome.Ending) {
+	l := s.link(to.Host)
+	if l == nil {
+		return work.Answer{}, outcome.DialFailed
+	}
+	reply := l.relays.Do(ctx, exchange.Call{
+		Method:     req.Method,
+		URI:        relayPath + req.URI,
+		Host:       req.Host,
+		Header:     s.relayHeader(to, req, purpose),
+		Body:       req.Body,
+		MaxIdle:    relayIdleLimit,
+		EchoHeader: message.RequestField,
+		Echo:       string(req.ID),
+	})
+	s.cfg.Scope.Tagged(map[string]string{"ending": string(reply.Ending)}).Counter("relays").Inc(1)
+	if reply.Ending != outcome.Answered {
+		s.cfg.Log.Debug().Str("Peer", string(to.Host)).Str("Ending", string(reply.Ending)).AnErr("Cause", reply.Err).Msg("relay failed")
+		if reply.Ending == outcome.DialFailed {
+			l.wake()
+		}
+		return work.Answer{}, reply.Ending
+	}
+	return decodeAnswer(reply)
+}
+
+func (s *Service) relayHeader(to roster.Member, req *work.Request, purpose router.Purpose) http.Header {
+	h := req.Header.Clone()
+	if h == nil {
+		h = make(http.Header)
+	}
+	h.Set(message.RequestField, string(req.ID))
+	h.Set(callerField, string(req.Caller))
+	h.Set(deadlineField, strconv.FormatInt(time.Until(req.Deadline).Milliseconds(), 10))
+	h.Set(hopsField, strconv.Itoa(req.Hops+1))
+	h.Set(purposeField, string(purpose))
+	h.Set(incarnationField, to.Incarnation.String())
+	h.Set(fromField, string(s.cfg.Self.Host))
+	v := s.store.Version()
+	h.Set(versionField, fmt.Sprintf("%d %s", v.Number, v.Digest))
+	if purpose == router.ToOwner {
+		h.Set(keyField, string(req.Key))
+	}
+	return h
+}
+
+// decodeAnswer turns a peer's reply into an answer. A reply without an outcome
+// proves nothing.
+func decodeAnswer(reply exchange.Reply) (work.Answer, outcome.Ending) {
+	a := work.Answer{
+		Outcome: outcome.Outcome(reply.Header.Get(message.OutcomeField)),
+		Status:  reply.Status,
+		Header:  reply.Header,
+		Held:    reply.Held,
+		Rest:    reply.Rest,
+		Size:    reply.Size,
+		Reason:  work.Reason(reply.Header.Get(message.ReasonField)),
+		Done:    reply.Release,
+	}
+	switch a.Outcome {
+	case outcome.Ran, outcome.NotRun, outcome.Unknown:
+	default:
+		a.Close()
+		return work.Answer{}, outcome.Malformed
+	}
+	if seconds, err := strconv.Atoi(reply.Header.Get("Retry-After")); err == nil && a.Reason != work.NoReason {
+		a.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return a, outcome.Answered
+}
+
+// relayServer answers requests that peers relay.
+type relayServer struct{ *Service }
+
+func (s relayServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	req, purpose, err := s.decode(r)
+	if err != nil {
+		s.cfg.Scope.Counter("refused_peer_messages").Inc(1)
+		http.Error(w, err.Error(), http.StatusForbidden)
+		return
+	}
+	found, err := kernel.Find[handler](s.kernel, router.ServiceName)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	body, release, err := message.ReadBody(w, r, message.BodyConfig{
+		Limit: s.cfg.Limits.RequestBody, Buffer: s.cfg.Limits.BodyBuffer, Memory: s.cfg.Memory, Pause: s.cfg.Timing.SlowCaller,
+	})
+	defer release()
+	if err != nil {
+		message.WriteAnswer(w, req.ID, s.unread(purpose), s.cfg.Timing.SlowCaller)
+		return
+	}
+	req.Body = body
+	answer := found.HandleRelayed(r.Context(), req, purpose)
+	message.WriteAnswer(w, req.ID, answer, s.cfg.Timing.SlowCaller)
+}
+
+// unread answers a request whose body did not arrive. Only a relay to the
+// dispatcher is a fresh request; one to the owner may be a repeat.
+func (s relayServer) unread(purpose router.Purpose) work.Answer {
+	if purpose == router.ToOwner {
+		return work.Refuse(outcome.Unknown, http.StatusBadRequest, work.BadRequest)
+	}
+	return work.Refuse(outcome.NotRun, http.StatusBadRequest, work.BadRequest)
+}
+
+var errNotRelay = errors.New("this address takes messages of peers only")
+
+// decode turns a relayed message into a request.
+func (s relayServer) decode(r *http.Request) (*work.Request, router.Purpose, error) {
+	h := r.Header
+	purpose := router.Purpose(h.Get(purposeField))
+	left, err1 := strconv.ParseInt(h.Get(deadlineField), 10, 64)
+	hops, err2 := strconv.Atoi(h.Get(hopsField))
+	if err1 != nil || err2 != nil || hops < 1 || h.Get(message.RequestField) == "" {
+		return nil, "", errNotRelay
+	}
+	if purpose != router.ToOwner && purpose != router.ToDispatcher {
+		return nil, "", errNotRelay
+	}
+	if purpose == router.ToOwner && h.Get(incarnationField) != s.cfg.Self.Incarnation.String() {
+		return nil, "", errors.New("the incarnation that is asked for is gone")
+	}
+	s.noteVersion(h)
+	return &work.Request{
+		ID:       id.Request(h.Get(message.RequestField)),
+		Caller:   id.Caller(h.Get(callerField)),
+		Key:      id.Key(h.Get(keyField)),
+		Method:   r.Method,
+		URI:      strings.TrimPrefix(r.RequestURI, relayPath),
+		Path:     strings.TrimPrefix(r.URL.Path, relayPath),
+		Host:     r.Host,
+		Header:   message.EndToEnd(h),
+		Deadline: time.Now().Add(time.Duration(left) * time.Millisecond),
+		Hops:     hops,
+	}, purpose, nil
+}
+
+// noteVersion takes the version that a relayed request carries.
+func (s relayServer) noteVersion(h http.Header) {
+	number, digest, _ := strings.Cut(h.Get(versionField), " ")
+	n, err := strconv.ParseUint(number, 10, 64)
+	if err != nil {
+		return
+	}
+	if l := s.link(id.Host(h.Get(fromField))); l != nil {
+		l.offer(id.ConfigVersion{Number: n, Digest: digest})
+	}
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,81 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/peer/peerpb"
+	"github.com/twitchtv/twirp"
+)
+
+// maxMessage bounds a message of a peer that is not a relayed request.
+const maxMessage = 64 << 10
+
+func (s *Service) routes() http.Handler {
+	calls := peerpb.NewPeerServer(server{s})
+	relays := relayServer{s}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case strings.HasPrefix(r.URL.Path, calls.PathPrefix()):
+			r.Body = http.MaxBytesReader(w, r.Body, maxMessage)
+			calls.ServeHTTP(w, r)
+		case strings.HasPrefix(r.RequestURI, relayPath+"/"):
+			relays.ServeHTTP(w, r)
+		default:
+			s.cfg.Scope.Counter("refused_peer_messages").Inc(1)
+			http.Error(w, "this address takes messages of peers only", http.StatusForbidden)
+		}
+	})
+}
+
+// server answers what peers ask.
+type server struct{ *Service }
+
+// Ping takes a peer's news and answers with this daemon's.
+func (s server) Ping(_ context.Context, n *peerpb.News) (*peerpb.News, error) {
+	if n.GetFrom().GetHost() == "" || n.GetFrom().GetIncarnation() == 0 {
+		return nil, twirp.RequiredArgumentError("From")
+	}
+	s.heard(n)
+	return s.news(id.Host(n.GetFrom().GetHost())), nil
+}
+
+// PingVia pings a peer for another one.
+func (s server) PingVia(ctx context.Context, d *peerpb.Detour) (*peerpb.Reached, error) {
+	l := s.link(id.Host(d.GetHost()))
+	if l == nil || string(l.address) != d.GetPeers() {
+		return &peerpb.Reached{}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.Timing.Probe/2)
+	defer cancel()
+	news, err := l.client.Ping(ctx, s.news(l.host))
+	if err != nil || id.Host(news.GetFrom().GetHost()) != l.host {
+		return &peerpb.Reached{}, nil
+	}
+	s.heard(news)
+	return &peerpb.Reached{Answered: true, Member: news.GetFrom()}, nil
+}
+
+// Index returns the index of the configuration in force.
+func (s server) Index(context.Context, *peerpb.IndexRequest) (*peerpb.Document, error) {
+	current := s.store.Current()
+	if current == nil {
+		return nil, twirp.NotFoundError("no configuration is in force")
+	}
+	return &peerpb.Document{Data: current.Documents.Index}, nil
+}
+
+// Value returns a service's value in the configuration in force.
+func (s server) Value(_ context.Context, r *peerpb.ValueRequest) (*peerpb.Document, error) {
+	current := s.store.Current()
+	if current == nil {
+		return nil, twirp.NotFoundError("no configuration is in force")
+	}
+	data, ok := current.Documents.Values[id.Service(r.GetService())]
+	if !ok {
+		return nil, twirp.NotFoundError("no such service")
+	}
+	return &peerpb.Document{Data: data}, nil
+}
--- /dev/null
+++ b/schedule/target.go
@@ -0,0 +1,79 @@
+package schedule
+
+import (
+	"time"
+
+	"github.com/briarrouter/briarrouter/health"
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/unit"
+)
+
+// Endpoint is a target as the platform lists it.
+type Endpoint struct {
+	ID            id.Target
+	Address       id.Address
+	FailureDomain id.FailureDomain
+	// Leaving tells that the platform knows that the target goes away.
+	Leaving bool
+}
+
+const (
+	firstUnfit = 100 * time.Millisecond
+	maxUnfit   = 2 * time.Second
+	// limitRecovery is how many slots per second a target gains back after it
+	// shed load.
+	limitRecovery = 2.0
+)
+
+// target is one target as the scheduler sees it.
+type target struct {
+	endpoint Endpoint
+	// running counts the requests granted and not finished; long and suspect
+	// those of them that are long, or that may crash targets.
+	running, long, suspect int
+	// limit is how many requests the target showed that it takes; between 1
+	// and the declared slots.
+	limit float64
+	// leaving is set by the first sign of leaving and never taken back while
+	// the endpoint is listed.
+	leaving bool
+	// unfitUntil is when the next request may be tried after a failed
+	// connection, unfitFor the length of that wait; zero after a success.
+	unfitUntil time.Time
+	unfitFor   time.Duration
+	// warmSince is when the target was first seen.
+	warmSince time.Time
+}
+
+// capacity returns how many requests the target may run now.
+func (t *target) capacity(now time.Time, slots unit.Slots, warmup time.Duration, state health.State) int {
+	if t.leaving || now.Before(t.unfitUntil) || state == health.Ejected {
+		return 0
+	}
+	if state == health.Trial {
+		return 1
+	}
+	capacity := min(int(t.limit), int(slots))
+	if age := now.Sub(t.warmSince); age < warmup {
+		warm := 1 + int(float64(slots-1)*float64(age)/float64(warmup))
+		capacity = min(capacity, warm)
+	}
+	return capacity
+}
+
+// unreachable keeps the target out for a time that doubles.
+func (t *target) unreachable(now time.Time) {
+	t.unfitFor = min(max(2*t.unfitFor, firstUnfit), maxUnfit)
+	t.unfitUntil = now.Add(t.unfitFor)
+}
+
+// reached records that a connection worked.
+func (t *target) reached() { t.unfitFor = 0 }
+
+// shed lowers the limit to what the target was running when it declined.
+func (t *target) shed() { t.limit = max(1, float64(t.running)) }
+
+// recover raises the limit towards the declared slots.
+func (t *target) recover(elapsed time.Duration, slots unit.Slots) {
+	t.limit = min(float64(slots), t.limit+limitRecovery*elapsed.Seconds())
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,143 @@
+// Package settings reads the settings of a daemon.
+package settings
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/inifile"
+	"github.com/briarrouter/briarrouter/unit"
+)
+
+// Daemon is the settings of one daemon.
+type Daemon struct {
+	// Host is the name under which the platform lists this host.
+	Host id.Host
+	// FailureDomain is the failure domain that the host stands in.
+	FailureDomain id.FailureDomain
+	// Callers, Peers and Operator are the addresses to listen on. No two are
+	// the same.
+	Callers  id.Address
+	Peers    id.Address
+	Operator id.Address
+	// Platform has at least one address of the platform's service.
+	Platform []id.Address
+	Limits   Limits
+	Timing   Timing
+}
+
+// Limits bounds what callers, targets and peers can make a daemon hold.
+type Limits struct {
+	// Buffers bounds the sum of all bodies held in memory at one time.
+	Buffers unit.Bytes
+	// RequestHeader bounds the header of a caller's request.
+	RequestHeader unit.Bytes
+	// RequestBody bounds the body of a caller's request.
+	RequestBody unit.Bytes
+	// BodyBuffer is the largest request body that is held so that it can be
+	// sent again. Larger ones are streamed. At most Buffers.
+	BodyBuffer unit.Bytes
+	// AnswerBuffer is the largest answer that is read whole before its first
+	// byte goes to the caller. Larger ones are streamed. At most Buffers.
+	AnswerBuffer unit.Bytes
+	// CallerConnections bounds the connections of callers.
+	CallerConnections int
+	// Keys bounds the idempotency keys that are remembered.
+	Keys int
+}
+
+// Timing is the time spans of a daemon.
+type Timing struct {
+	// Hold is how long a caller may keep an answer about addresses. A daemon
+	// that stops serves for at least this long after it left the answers.
+	Hold time.Duration
+	// Epoch is how long one epoch of idempotency keys takes.
+	Epoch time.Duration
+	// Probe is the time between two probes of peers.
+	Probe time.Duration
+	// Suspect is how long a suspected peer may take to refute the suspicion.
+	Suspect time.Duration
+	// Join is how long a starting daemon waits for peers before it trusts the
+	// platform's configuration alone.
+	Join time.Duration
+	// SlowCaller bounds a caller's pauses within a request or an answer.
+	SlowCaller time.Duration
+}
+
+// Read reads the settings from a file.
+func Read(path string) (Daemon, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Daemon{}, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(path, data)
+}
+
+// Parse reads the settings from the text of a file. The error gathers every
+// problem.
+func Parse(name string, data []byte) (Daemon, error) {
+	f := inifile.Parse(name, data)
+	d := Daemon{}
+	d.readHost(f)
+	d.Limits = readLimits(f)
+	d.Timing = readTiming(f)
+	return d, f.Err()
+}
+
+func (d *Daemon) readHost(f *inifile.File) {
+	host := f.Section("Host")
+	d.Host = id.Host(host.Text("Name", "the name in the platform's host list"))
+	d.FailureDomain = id.FailureDomain(host.Text("FailureDomain", "the name of a failure domain"))
+	listen := f.Section("Listen")
+	d.Callers = listen.Address("Callers")
+	d.Peers = listen.Address("Peers")
+	d.Operator = listen.Address("Operator")
+	refuseSame(listen, "Peers", d.Peers, "Callers", d.Callers)
+	refuseSame(listen, "Operator", d.Operator, "Callers", d.Callers)
+	refuseSame(listen, "Operator", d.Operator, "Peers", d.Peers)
+	d.Platform = f.Section("Platform").Addresses("Addresses")
+}
+
+func refuseSame(s *inifile.Section, key string, address id.Address, other string, taken id.Address) {
+	if address == taken && address != "" {
+		s.Problem(key, fmt.Sprintf("address %s is also the one of %s", address, other), "an address of its own")
+	}
+}
+
+func readLimits(f *inifile.File) Limits {
+	s := f.Section("Limits")
+	l := Limits{
+		Buffers:           s.BytesOr("Buffers", unit.MiB, 4*unit.GiB, 64*unit.MiB),
+		RequestHeader:     s.BytesOr("RequestHeader", unit.KiB, unit.MiB, 16*unit.KiB),
+		RequestBody:       s.BytesOr("RequestBody", unit.KiB, unit.GiB, 64*unit.MiB),
+		BodyBuffer:        s.BytesOr("BodyBuffer", 0, 16*unit.MiB, 64*unit.KiB),
+		AnswerBuffer:      s.BytesOr("AnswerBuffer", 0, 16*unit.MiB, 256*unit.KiB),
+		CallerConnections: s.IntOr("CallerConnections", 16, 1_000_000, 4096),
+		Keys:              s.IntOr("Keys", 100, 10_000_000, 100_000),
+	}
+	if l.BodyBuffer > l.Buffers {
+		s.Problem("BodyBuffer", "larger than Buffers", "at most "+l.Buffers.String())
+	}
+	if l.AnswerBuffer > l.Buffers {
+		s.Problem("AnswerBuffer", "larger than Buffers", "at most "+l.Buffers.String())
+	}
+	return l
+}
+
+func readTiming(f *inifile.File) Timing {
+	s := f.Section("Timing")
+	t := Timing{
+		Hold:       s.DurationOr("Hold", time.Second, 10*time.Minute, 5*time.Second),
+		Epoch:      s.DurationOr("Epoch", 10*time.Second, 24*time.Hour, 10*time.Minute),
+		Probe:      s.DurationOr("Probe", 100*time.Millisecond, 10*time.Second, time.Second),
+		Suspect:    s.DurationOr("Suspect", 500*time.Millisecond, time.Minute, 2*time.Second),
+		Join:       s.DurationOr("Join", 100*time.Millisecond, time.Minute, 2*time.Second),
+		SlowCaller: s.DurationOr("SlowCaller", time.Second, 10*time.Minute, 10*time.Second),
+	}
+	if t.Suspect < t.Probe {
+		s.Problem("Suspect", "shorter than Probe", "at least "+t.Probe.String())
+	}
+	return t
+}
