Add the questionnaire, the load tool, the stand-ins' layout and quickstart

Change: packages answers and load, commands generate, check, dump, load and standin layout, and ./quickstart, which kills the dispatcher of one service, pauses that of another, stops a third as planned, takes the platform down and makes targets slow, wrong, cut, crossed, reset, leave and die.

--- /dev/null
+++ b/command/check.go
@@ -0,0 +1,64 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/briarrouter/briarrouter/answers"
+	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/settings"
+)
+
+// check is the command that validates files.
+type check struct {
+	streams       streams
+	Settings      []string `long:"settings" value-name:"FILE" description:"a daemon's settings"`
+	Answers       []string `long:"answers" value-name:"FILE" description:"a questionnaire's answers"`
+	Configuration []string `long:"configuration" value-name:"DIR" description:"a generated configuration"`
+}
+
+// Execute checks every file and reports all problems.
+func (c *check) Execute([]string) error {
+	var errs []error
+	for _, file := range c.Settings {
+		_, err := settings.Read(file)
+		errs = append(errs, err)
+	}
+	for _, file := range c.Answers {
+		errs = append(errs, checkAnswers(file))
+	}
+	for _, dir := range c.Configuration {
+		errs = append(errs, checkConfiguration(dir))
+	}
+	if len(errs) == 0 {
+		return errors.New("check: nothing to check; give --settings, --answers or --configuration")
+	}
+	if err := errors.Join(errs...); err != nil {
+		return invalid(err)
+	}
+	fmt.Fprintln(c.streams.out, "no problem found")
+	return nil
+}
+
+func checkAnswers(file string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	q, err := answers.Parse(file, data)
+	if err != nil {
+		return err
+	}
+	_, err = configuration.Compose(q.Derive(1))
+	return err
+}
+
+func checkConfiguration(dir string) error {
+	docs, err := readDocuments(dir)
+	if err != nil {
+		return err
+	}
+	_, err = configuration.Compose(docs)
+	return err
+}
--- a/command/command.go
+++ b/command/command.go
@@ -81,12 +81,28 @@
 	mustAdd(parser.AddCommand("serve", "Run a daemon",
 		"Runs a daemon until SIGTERM or SIGINT, then leaves the fleet without cutting a request.\n\n"+
 			"Example:\n  briarrouter serve --settings /etc/briarrouter.ini\n\n"+exitCodes, &serve{streams: std}))
+	mustAdd(parser.AddCommand("generate", "Derive a configuration from answers",
+		"Derives the configuration that follows from a questionnaire's answers, with the reason for each value.\n\n"+
+			"Examples:\n  briarrouter generate --answers examples/agency.ini\n"+
+			"  briarrouter generate --answers examples/agency.ini --previous inforce --out next\n\n"+exitCodes, &generate{streams: std}))
+	mustAdd(parser.AddCommand("check", "Check files",
+		"Checks settings, answers and generated configurations, and reports every problem.\n\n"+
+			"Example:\n  briarrouter check --answers examples/agency.ini --settings daemon.ini\n\n"+exitCodes, &check{streams: std}))
+	mustAdd(parser.AddCommand("dump", "Show the state of a daemon",
+		"Shows the whole state of a daemon: configuration, roster, targets with the reason for their state, queues, quarantines, keys.\n\n"+
+			"Example:\n  briarrouter dump --address 127.0.0.1:7002\n\n"+exitCodes, &dump{streams: std}))
+	mustAdd(parser.AddCommand("load", "Drive a load against a fleet",
+		"Drives an open-loop load with a swing, and tells requests that ran, did not run, are unknown or broken apart.\n\n"+
+			"Example:\n  briarrouter load --answers examples/agency.ini --entry 127.0.0.1:7000 --rate 300 --swing 3\n\n"+exitCodes, &loadFleet{streams: std}))
 	standin := mustAdd(parser.AddCommand("standin", "Run a stand-in for an outside system",
 		"Runs a small program that takes the place of an outside system in a trial.", &struct{}{}))
 	mustAdd(standin.AddCommand("platform", "Run a stand-in for the platform",
 		"Serves values that can be read and watched; a control address publishes them and switches faults.\n\n"+
 			"Example:\n  briarrouter standin platform --listen 127.0.0.1:7000 --control 127.0.0.1:7001\n"+
 			"  curl -X PUT 127.0.0.1:7001/faults/down", &standinPlatform{streams: std}))
+	mustAdd(standin.AddCommand("layout", "Lay out a trial",
+		"Finds free ports and writes the daemons' settings and the values that the platform publishes.\n\n"+
+			"Example:\n  briarrouter standin layout --answers examples/agency.ini --daemons 8 --directory trial", &standinLayout{streams: std}))
 	mustAdd(standin.AddCommand("target", "Run a stand-in for a target",
 		"Runs requests in slots and records each run; a control address switches faults.\n\n"+
 			"Example:\n  briarrouter standin target --listen 127.0.0.1:7100 --control 127.0.0.1:7101 --slots 2\n"+
--- /dev/null
+++ b/command/dump.go
@@ -0,0 +1,104 @@
+package command
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/briarrouter/briarrouter/operator"
+)
+
+// dump is the command that shows the state of a daemon.
+type dump struct {
+	streams streams
+	Address string `long:"address" value-name:"ADDRESS" required:"yes" description:"the daemon's address for operators"`
+	JSON    bool   `long:"json" description:"write JSON instead of text"`
+}
+
+const (
+	dumpTimeout = 10 * time.Second
+	maxDump     = 64 << 20
+)
+
+// Execute reads the state and writes it.
+func (d *dump) Execute([]string) error {
+	client := &http.Client{Timeout: dumpTimeout}
+	resp, err := client.Get("http://" + d.Address + operator.DumpPath)
+	if err != nil {
+		return fmt.Errorf("dump: %w", err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxDump))
+	if err != nil {
+		return fmt.Errorf("dump: %w", err)
+	}
+	if d.JSON {
+		_, err = d.streams.out.Write(data)
+		return err
+	}
+	return writeText(d.streams.out, data)
+}
+
+// writeText writes JSON as indented lines, without quotes and brackets.
+func writeText(out io.Writer, data []byte) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.UseNumber()
+	t := &textWriter{out: out, decoder: decoder}
+	return t.value(0)
+}
+
+// textWriter turns a stream of JSON into lines.
+type textWriter struct {
+	out     io.Writer
+	decoder *json.Decoder
+}
+
+func (t *textWriter) value(depth int) error {
+	token, err := t.decoder.Token()
+	if err != nil {
+		return err
+	}
+	switch token {
+	case json.Delim('{'):
+		fmt.Fprintln(t.out)
+		return t.object(depth)
+	case json.Delim('['):
+		fmt.Fprintln(t.out)
+		return t.list(depth)
+	default:
+		_, err = fmt.Fprintf(t.out, " %v\n", token)
+		return err
+	}
+}
+
+const indent = "  "
+
+func (t *textWriter) object(depth int) error {
+	for t.decoder.More() {
+		key, err := t.decoder.Token()
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(t.out, "%s%v:", strings.Repeat(indent, depth), key)
+		if err := t.value(depth + 1); err != nil {
+			return err
+		}
+	}
+	_, err := t.decoder.Token()
+	return err
+}
+
+func (t *textWriter) list(depth int) error {
+	for t.decoder.More() {
+		fmt.Fprintf(t.out, "%s-", strings.Repeat(indent, depth))
+		if err := t.value(depth + 1); err != nil {
+			return err
+		}
+	}
+	_, err := t.decoder.Token()
+	return err
+}
--- /dev/null
+++ b/command/generate.go
@@ -0,0 +1,111 @@
+package command
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/briarrouter/briarrouter/answers"
+	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/id"
+)
+
+// generate is the command that derives a configuration from answers.
+type generate struct {
+	streams  streams
+	Answers  string `long:"answers" value-name:"FILE" required:"yes" description:"the questionnaire's answers (INI)"`
+	Previous string `long:"previous" value-name:"DIR" description:"the configuration in force, to show the difference"`
+	Out      string `long:"out" value-name:"DIR" description:"where to write the configuration; standard output where it is missing"`
+}
+
+// Execute derives, compares and writes the configuration.
+func (g *generate) Execute([]string) error {
+	data, err := os.ReadFile(g.Answers)
+	if err != nil {
+		return err
+	}
+	q, err := answers.Parse(g.Answers, data)
+	if err != nil {
+		return invalid(err)
+	}
+	previous, err := readDocuments(g.Previous)
+	if err != nil {
+		return err
+	}
+	number, err := nextNumber(previous)
+	if err != nil {
+		return invalid(err)
+	}
+	docs := q.Derive(number)
+	if _, err := configuration.Compose(docs); err != nil {
+		return invalid(err)
+	}
+	if g.Previous != "" {
+		fmt.Fprint(g.streams.out, configuration.Difference(previous, docs))
+	}
+	if g.Out == "" {
+		printDocuments(g.streams, docs)
+		return nil
+	}
+	return writeDocuments(g.Out, docs)
+}
+
+func nextNumber(previous configuration.Documents) (uint64, error) {
+	if previous.Index == nil {
+		return 1, nil
+	}
+	index, err := configuration.ParseIndex(previous.Index)
+	return index.Version.Number + 1, err
+}
+
+const (
+	indexFile    = "index.ini"
+	valuePrefix  = "service-"
+	iniExtension = ".ini"
+)
+
+// readDocuments reads a configuration from its directory. No directory gives
+// no documents.
+func readDocuments(dir string) (configuration.Documents, error) {
+	docs := configuration.Documents{Values: make(map[id.Service][]byte)}
+	if dir == "" {
+		return docs, nil
+	}
+	var err error
+	if docs.Index, err = os.ReadFile(filepath.Join(dir, indexFile)); err != nil {
+		return docs, err
+	}
+	files, err := filepath.Glob(filepath.Join(dir, valuePrefix+"*"+iniExtension))
+	if err != nil {
+		return docs, err
+	}
+	for _, file := range files {
+		name := strings.TrimSuffix(strings.TrimPrefix(filepath.Base(file), valuePrefix), iniExtension)
+		if docs.Values[id.Service(name)], err = os.ReadFile(file); err != nil {
+			return docs, err
+		}
+	}
+	return docs, nil
+}
+
+func writeDocuments(dir string, docs configuration.Documents) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	for name, data := range docs.Values {
+		if err := os.WriteFile(filepath.Join(dir, valuePrefix+string(name)+iniExtension), data, 0o644); err != nil {
+			return err
+		}
+	}
+	return os.WriteFile(filepath.Join(dir, indexFile), docs.Index, 0o644)
+}
+
+func printDocuments(std streams, docs configuration.Documents) {
+	fmt.Fprintf(std.out, "; %s\n%s", indexFile, docs.Index)
+	for _, name := range slices.Sorted(maps.Keys(docs.Values)) {
+		fmt.Fprintf(std.out, "\n; %s%s%s\n%s", valuePrefix, name, iniExtension, docs.Values[name])
+	}
+}
--- /dev/null
+++ b/command/load.go
@@ -0,0 +1,161 @@
+package command
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/briarrouter/briarrouter/answers"
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/load"
+	"github.com/briarrouter/briarrouter/operator"
+)
+
+// loadFleet is the command that drives a load against a fleet.
+type loadFleet struct {
+	streams   streams
+	Answers   string        `long:"answers" value-name:"FILE" required:"yes" description:"the questionnaire's answers (INI), which name the requests"`
+	Entries   []string      `long:"entry" value-name:"ADDRESS" required:"yes" description:"a daemon's address for callers; may be given more than once"`
+	Operators []string      `long:"operator" value-name:"ADDRESS" description:"a daemon's address for operators, to compare the configurations in force at the end"`
+	Records   string        `long:"records" value-name:"DIR" description:"where the target stand-ins record their runs"`
+	Rate      float64       `long:"rate" value-name:"N" default:"300" description:"requests per second"`
+	Swing     float64       `long:"swing" value-name:"X" default:"1" description:"factor of the rate in the middle third of the time"`
+	Duration  time.Duration `long:"duration" value-name:"SPAN" default:"15s" description:"how long requests arrive"`
+	Long      float64       `long:"long" value-name:"SHARE" default:"0.05" description:"share of long requests"`
+	Unsafe    float64       `long:"unrepeatable" value-name:"SHARE" default:"0.2" description:"share of unrepeatable requests"`
+	ShortTime time.Duration `long:"short-time" value-name:"SPAN" default:"20ms" description:"mean service time of short requests"`
+	LongTime  time.Duration `long:"long-time" value-name:"SPAN" default:"400ms" description:"mean service time of long requests"`
+	Repeats   int           `long:"repeats" value-name:"N" default:"2" description:"how often a caller repeats a request that is not settled"`
+	Seed      uint64        `long:"seed" value-name:"N" default:"1" description:"seed of the arrivals"`
+}
+
+// Execute drives the load, prints the report and judges the promises.
+func (l *loadFleet) Execute([]string) error {
+	data, err := os.ReadFile(l.Answers)
+	if err != nil {
+		return err
+	}
+	q, err := answers.Parse(l.Answers, data)
+	if err != nil {
+		return invalid(err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	report := load.New(l.config(q)).Run(ctx)
+	report.Write(l.streams.out)
+	promises, err := l.judge(report)
+	if err != nil {
+		return err
+	}
+	return l.print(promises)
+}
+
+func (l *loadFleet) config(q answers.Questionnaire) load.Config {
+	cfg := load.Config{
+		Questionnaire: q, Rate: l.Rate, Swing: l.Swing, Duration: l.Duration,
+		LongShare: l.Long, UnsafeShare: l.Unsafe, ShortTime: l.ShortTime, LongTime: l.LongTime,
+		Repeats: l.Repeats, Seed: l.Seed,
+	}
+	for _, e := range l.Entries {
+		cfg.Entries = append(cfg.Entries, id.Address(e))
+	}
+	return cfg
+}
+
+func (l *loadFleet) judge(report *load.Report) ([]load.Promise, error) {
+	var promises []load.Promise
+	if l.Records != "" {
+		runs, err := readRecords(l.Records)
+		if err != nil {
+			return nil, err
+		}
+		promises = report.Judge(runs)
+	}
+	if len(l.Operators) > 0 {
+		promises = append(promises, l.judgeVersions())
+	}
+	return promises, nil
+}
+
+// readRecords counts the runs of each piece of work.
+func readRecords(dir string) (map[string]int, error) {
+	files, err := filepath.Glob(filepath.Join(dir, "*"))
+	if err != nil {
+		return nil, err
+	}
+	runs := make(map[string]int)
+	for _, file := range files {
+		f, err := os.Open(file)
+		if err != nil {
+			return nil, err
+		}
+		for lines := bufio.NewScanner(f); lines.Scan(); {
+			runs[lines.Text()]++
+		}
+		f.Close()
+	}
+	return runs, nil
+}
+
+// judgeVersions compares the configurations that the daemons have in force.
+func (l *loadFleet) judgeVersions() load.Promise {
+	versions := make(map[string]int)
+	asked := 0
+	for _, address := range l.Operators {
+		if v, err := versionOf(address); err == nil {
+			versions[v]++
+			asked++
+		}
+	}
+	return load.Promise{
+		Text: "one accepted configuration is in force everywhere",
+		Kept: len(versions) == 1,
+		Seen: fmt.Sprintf("%d daemons answer, versions %v", asked, versions),
+	}
+}
+
+func versionOf(address string) (string, error) {
+	client := &http.Client{Timeout: dumpTimeout}
+	resp, err := client.Get("http://" + address + operator.DumpPath)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	var states []struct {
+		Name  string
+		State struct{ Version id.ConfigVersion }
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&states); err != nil {
+		return "", err
+	}
+	for _, s := range states {
+		if s.Name == "configuration" {
+			return s.State.Version.String(), nil
+		}
+	}
+	return "", errors.New("dump has no configuration")
+}
+
+func (l *loadFleet) print(promises []load.Promise) error {
+	broken := 0
+	for _, p := range promises {
+		verdict := "kept  "
+		if !p.Kept {
+			verdict = "BROKEN"
+			broken++
+		}
+		fmt.Fprintf(l.streams.out, "%s  %s (%s)\n", verdict, p.Text, p.Seen)
+	}
+	if broken > 0 {
+		return coded{fmt.Errorf("load: %d promises were broken", broken), exitBroken}
+	}
+	return nil
+}
--- a/command/standin.go
+++ b/command/standin.go
@@ -38,14 +38,22 @@
 	Backlog   int           `long:"backlog" value-name:"N" default:"2" description:"requests that may wait for a slot"`
 	Cold      time.Duration `long:"cold" value-name:"SPAN" default:"0s" description:"time until the target has its full speed"`
 	ProbeCost time.Duration `long:"probe-cost" value-name:"SPAN" default:"25ms" description:"time that a probe takes"`
+	Record    string        `long:"record" value-name:"FILE" description:"a file that gets a line for each run"`
 	Seed      uint64        `long:"seed" value-name:"N" default:"1" description:"seed of the faults"`
 }
 
 // Execute runs the stand-in until a signal ends it.
 func (s *standinTarget) Execute([]string) error {
-	t := standin.NewTarget(standin.TargetConfig{
-		Slots: s.Slots, Backlog: s.Backlog, Cold: s.Cold, ProbeCost: s.ProbeCost, Seed: s.Seed,
-	})
+	cfg := standin.TargetConfig{Slots: s.Slots, Backlog: s.Backlog, Cold: s.Cold, ProbeCost: s.ProbeCost, Seed: s.Seed}
+	if s.Record != "" {
+		record, err := os.OpenFile(s.Record, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+		if err != nil {
+			return fmt.Errorf("standin: %w", err)
+		}
+		defer record.Close()
+		cfg.Record = record
+	}
+	t := standin.NewTarget(cfg)
 	return serveHTTP([]endpoint{{s.Listen, t.Handler()}, {s.Control, t.Control()}})
 }
 
--- a/standin/target.go
+++ b/standin/target.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
@@ -39,6 +40,8 @@
 	// ProbeCost is the time that a health probe takes.
 	ProbeCost time.Duration
 	Seed      uint64
+	// Record gets a line for each run, before the run; nil where none is kept.
+	Record io.Writer
 }
 
 // Faults is what is wrong with a target.
@@ -72,7 +75,9 @@
 	waiting int
 	// runs counts the runs of each piece of work.
 	runs map[string]int
-	// lastNew is when a request last started, after draining began.
+	// draining is when the target began to leave; zero before.
+	draining time.Time
+	// lastNew is when the last request arrived after that.
 	lastNew time.Time
 }
 
@@ -174,6 +179,7 @@
 // begin takes a slot, or says why the request is not run.
 func (t *Target) begin(r *http.Request, d drawn) error {
 	if d.draining {
+		t.arrivedLate()
 		return errDraining
 	}
 	ctx := r.Context()
@@ -194,6 +200,12 @@
 	}
 }
 
+func (t *Target) arrivedLate() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lastNew = time.Now()
+}
+
 func (t *Target) enter() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -213,9 +225,12 @@
 func (t *Target) record(work string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.lastNew = time.Now()
-	if work != "" {
-		t.runs[work]++
+	if work == "" {
+		return
+	}
+	t.runs[work]++
+	if t.cfg.Record != nil {
+		fmt.Fprintln(t.cfg.Record, work)
 	}
 }
 
@@ -303,6 +318,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if f.Draining && !t.faults.Draining {
+		t.draining = time.Now()
+	}
 	t.faults = f
 }
 
@@ -310,14 +328,15 @@
 type Runs struct {
 	// Counts gives how often each piece of work ran.
 	Counts map[string]int
-	// LastNew is when a request last started.
-	LastNew time.Time
+	// LastNewMilliseconds is the time from when the target began to leave to
+	// the last request that arrived.
+	LastNewMilliseconds int64
 }
 
 func (t *Target) getRuns(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	writeJSON(w, Runs{Counts: t.runs, LastNew: t.lastNew})
+	writeJSON(w, Runs{Counts: t.runs, LastNewMilliseconds: max(0, t.lastNew.Sub(t.draining).Milliseconds())})
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
