--- /dev/null
+++ b/answers/answers_test.go
@@ -0,0 +1,54 @@
+package answers
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+)
+
+// TestFiles derives a configuration from each questionnaire of testdata and of
+// the examples.
+func TestFiles(t *testing.T) {
+	for _, pattern := range []string{"testdata/*.ini", "../examples/*.ini"} {
+		files, err := filepath.Glob(pattern)
+		require.NoError(t, err)
+		require.NotEmpty(t, files)
+		for _, file := range files {
+			name := strings.TrimSuffix(filepath.Base(file), ".ini")
+			t.Run(name, func(t *testing.T) { goldie.New(t).Assert(t, name, []byte(derive(t, file))) })
+		}
+	}
+}
+
+func derive(t *testing.T, file string) string {
+	data, err := os.ReadFile(file)
+	require.NoError(t, err)
+	q, err := Parse(filepath.Base(file), data)
+	if err != nil {
+		return err.Error() + "\n"
+	}
+	docs := q.Derive(1)
+	_, err = configuration.Compose(docs)
+	require.NoError(t, err)
+	text := string(docs.Index)
+	for _, name := range slices.Sorted(maps.Keys(docs.Values)) {
+		text += fmt.Sprintf("\n--- %s\n%s", name, docs.Values[name])
+	}
+	return text
+}
+
+// FuzzParse looks for questionnaires that make the parser fail.
+func FuzzParse(f *testing.F) {
+	data, err := os.ReadFile("../examples/agency.ini")
+	require.NoError(f, err)
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) { Parse("fuzz", data) })
+}
--- a/command/layout.go
+++ b/command/layout.go
@@ -119,8 +119,6 @@
 [Platform]
 Addresses = %s
 
-[Limits]
-
 [Timing]
 Hold = 2s
 `, name, domain, callers, peers, operator, l.platform)
--- a/configuration/accept.go
+++ b/configuration/accept.go
@@ -5,11 +5,13 @@
 // Verdict says what becomes of an offered configuration.
 type Verdict string
 
-// The verdicts of Accept.
+// The verdicts.
 const (
 	Accepted Verdict = "Accepted"
 	Same     Verdict = "Same"
 	Older    Verdict = "Older"
+	// Invalid documents are refused whole, whatever their version.
+	Invalid Verdict = "Invalid"
 )
 
 // Accept decides whether an offered version replaces the one in force. The
--- /dev/null
+++ b/configuration/configuration_test.go
@@ -0,0 +1,120 @@
+package configuration
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/rs/zerolog"
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+)
+
+// TestValues parses each service value of testdata.
+func TestValues(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.ini")
+	require.NoError(t, err)
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".ini")
+		t.Run(name, func(t *testing.T) {
+			v, err := ParseService(filepath.Base(file), read(t, file))
+			if err != nil {
+				goldie.New(t).Assert(t, name, []byte(err.Error()+"\n"))
+				return
+			}
+			goldie.New(t).Assert(t, name, []byte(fmt.Sprintf("%+v\n", v)))
+		})
+	}
+}
+
+func read(t require.TestingT, file string) []byte {
+	data, err := os.ReadFile(file)
+	require.NoError(t, err)
+	return data
+}
+
+func documents(t require.TestingT, number uint64, file string) Documents {
+	values := map[id.Service][]byte{"beds": read(t, file)}
+	return Documents{Index: EncodeIndex(number, values), Values: values}
+}
+
+// TestStore offers configurations in an order that a stale store, a racing
+// operator and a careless hand could produce, and shows what is in force.
+func TestStore(t *testing.T) {
+	v1 := documents(t, 1, "testdata/good.ini")
+	v2 := documents(t, 2, "testdata/good.ini")
+	rival := documents(t, 2, "testdata/rival.ini")
+	cut := documents(t, 3, "testdata/good.ini")
+	cut.Values = map[id.Service][]byte{"beds": cut.Values["beds"][:200]}
+	missing := documents(t, 3, "testdata/good.ini")
+	missing.Values = nil
+	offers := []struct {
+		name string
+		docs Documents
+	}{
+		{"the first", v1},
+		{"the next", v2},
+		{"the next once more", v2},
+		{"an older one from a stale store", v1},
+		{"another one with the same number", rival},
+		{"the next again", v2},
+		{"one that is cut", cut},
+		{"one that lacks a value", missing},
+		{"one that is not INI", Documents{Index: []byte("[Configuration")}},
+	}
+	orders := map[string][]int{"in order": {0, 1, 2, 3, 4, 5, 6, 7, 8}, "rival first": {4, 1, 0, 4, 1}}
+	var b strings.Builder
+	for _, order := range []string{"in order", "rival first"} {
+		s := NewStore(zerolog.Nop())
+		for _, i := range orders[order] {
+			verdict := s.Offer(offers[i].docs, "test")
+			fmt.Fprintf(&b, "%s: %s: %s, in force %s\n", order, offers[i].name, verdict, s.Version())
+		}
+		fmt.Fprintf(&b, "%+v\n", s.State().(StoreState).Refused)
+	}
+	goldie.New(t).Assert(t, "store", []byte(b.String()))
+}
+
+// TestMatch shows which route a path leads to.
+func TestMatch(t *testing.T) {
+	s, err := Compose(documents(t, 1, "testdata/good.ini"))
+	require.NoError(t, err)
+	var b strings.Builder
+	for _, line := range []string{
+		"GET /beds", "GET /beds/", "GET /beds/7", "GET /bedside", "POST /beds", "POST /beds/7/photos",
+		"POST /beds/7/photos/1", "DELETE /beds", "GET /", "GET /other",
+	} {
+		method, path, _ := strings.Cut(line, " ")
+		m, ok := s.Match(method, path)
+		if !ok {
+			fmt.Fprintln(&b, line, "-> no route")
+			continue
+		}
+		fmt.Fprintln(&b, line, "->", m.Service.Name, m.Route.Name)
+	}
+	goldie.New(t).Assert(t, "match", []byte(b.String()))
+}
+
+// TestDifference compares two configurations.
+func TestDifference(t *testing.T) {
+	from, to := documents(t, 1, "testdata/good.ini"), documents(t, 2, "testdata/rival.ini")
+	to.Values["slips"] = nil
+	goldie.New(t).Assert(t, "difference", []byte(Difference(from, to)+"and back:\n"+Difference(to, from)+Difference(from, from)))
+}
+
+// FuzzParseService looks for values that make the parser fail.
+func FuzzParseService(f *testing.F) {
+	for _, file := range []string{"testdata/good.ini", "testdata/bad.ini"} {
+		f.Add(read(f, file))
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) { ParseService("fuzz", data) })
+}
+
+// FuzzParseIndex looks for indexes that make the parser fail.
+func FuzzParseIndex(f *testing.F) {
+	f.Add(documents(f, 1, "testdata/good.ini").Index)
+	f.Fuzz(func(_ *testing.T, data []byte) { ParseIndex(data) })
+}
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		s.refused.Store(&Refusal{Source: source, Reason: err.Error()})
 		s.log.Error().Str("Source", source).Err(err).Msg("configuration refused")
-		return Older
+		return Invalid
 	}
 	for {
 		old := s.current.Load()
--- /dev/null
+++ b/departure/departure_test.go
@@ -0,0 +1,41 @@
+package departure
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/scripttest"
+)
+
+// TestScripts lets targets leave and tells a peer.
+func TestScripts(t *testing.T) {
+	scripttest.Run(t, ".script", func(*testing.T) func([]string) string {
+		s := &script{clock: scripttest.NewClock(), table: New(), peer: New()}
+		return s.execute
+	})
+}
+
+type script struct {
+	clock       *scripttest.Clock
+	table, peer *Table
+}
+
+func (s *script) execute(w []string) string {
+	now := s.clock.Now()
+	switch w[0] {
+	case "wait":
+		return s.clock.Wait(w[1])
+	case "seen":
+		return fmt.Sprint(s.table.Seen(now, id.Address(w[1])))
+	case "leaving":
+		return fmt.Sprintf("here %v, peer %v", s.table.Leaving(now, id.Address(w[1])), s.peer.Leaving(now, id.Address(w[1])))
+	case "tell":
+		return fmt.Sprint(s.peer.Learn(now, s.table.Notices(now, 8)))
+	case "forget":
+		s.table.Forget(id.Address(w[1]))
+		return ""
+	default:
+		return "unknown command"
+	}
+}
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -109,7 +109,7 @@
 // end frees the slot.
 func (x *attemptExchange) end(e outcome.Ending) {
 	x.result.Ending = e
-	x.service.finish(x.ticket, x.result)
+	x.service.finish(x.ticket, x.endpoint.Address, x.result)
 }
 
 // answer passes a target's answer on.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/departure"
 	"github.com/briarrouter/briarrouter/exchange"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/kernel"
@@ -66,11 +67,15 @@
 	// known holds the quarantines of the whole fleet, as far as they were
 	// heard of.
 	known *quarantine.Table
+	// departed holds the targets that are known to leave.
+	departed *departure.Table
+	// urgent holds a service with news that its standbys need at once.
+	urgent chan id.Service
 }
 
 // New returns a dispatcher without services.
 func New(cfg Config) *Dispatcher {
-	return &Dispatcher{cfg: cfg, services: make(map[id.Service]*serviceDispatcher), known: quarantine.New()}
+	return &Dispatcher{cfg: cfg, services: make(map[id.Service]*serviceDispatcher), known: quarantine.New(), departed: departure.New(), urgent: make(chan id.Service, 1)}
 }
 
 // Start finds the lists of targets and the policies.
@@ -127,21 +132,74 @@
 	return d.known.Quarantined(time.Now(), f)
 }
 
-// Notices returns the quarantines to tell a peer.
-func (d *Dispatcher) Notices(n int) []quarantine.Notice {
+// Urgent gives services with news that their standbys need at once.
+func (d *Dispatcher) Urgent() <-chan id.Service { return d.urgent }
+
+func (d *Dispatcher) hurry(s id.Service) {
+	select {
+	case d.urgent <- s:
+	default:
+	}
+}
+
+// Quarantines returns the quarantines to tell a peer.
+func (d *Dispatcher) Quarantines(n int) []quarantine.Notice {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.known.Notices(time.Now(), n)
 }
 
-// Learn takes quarantines from a peer or from a service.
-func (d *Dispatcher) Learn(notices []quarantine.Notice) {
+// LearnQuarantines takes quarantines from a peer or from a service.
+func (d *Dispatcher) LearnQuarantines(notices []quarantine.Notice) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.known.Expire(time.Now())
 	d.known.Learn(time.Now(), notices)
 }
 
+// Departures returns the leaving targets to tell a peer.
+func (d *Dispatcher) Departures(n int) []departure.Notice {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.departed.Notices(time.Now(), n)
+}
+
+// LearnDepartures takes leaving targets from a peer.
+func (d *Dispatcher) LearnDepartures(notices []departure.Notice) {
+	d.mu.Lock()
+	fresh := d.departed.Learn(time.Now(), notices)
+	services := slices.Collect(maps.Values(d.services))
+	d.mu.Unlock()
+	for _, s := range services {
+		s.setLeaving(fresh)
+	}
+}
+
+// leaves records a sign of leaving that a service saw.
+func (d *Dispatcher) leaves(s id.Service, a id.Address) {
+	d.mu.Lock()
+	fresh := d.departed.Seen(time.Now(), a)
+	d.mu.Unlock()
+	if fresh {
+		d.cfg.Log.Info().Str("Service", string(s)).Str("Address", string(a)).Msg("target is leaving")
+		d.hurry(s)
+	}
+}
+
+// serves records that a target is back.
+func (d *Dispatcher) serves(a id.Address) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.departed.Forget(a)
+}
+
+// leaving tells whether a target is known to leave.
+func (d *Dispatcher) leaving(a id.Address) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.departed.Leaving(time.Now(), a)
+}
+
 // ServiceState is one service's part of a dump.
 type ServiceState struct {
 	Service     id.Service
@@ -154,13 +212,14 @@
 // DispatcherState is the dispatcher's part of a dump.
 type DispatcherState struct {
 	Quarantine quarantine.State
+	Departures departure.State
 	Services   []ServiceState
 }
 
 // State returns the state of each service that was taken up.
 func (d *Dispatcher) State() any {
 	d.mu.Lock()
-	st := DispatcherState{Quarantine: d.known.State()}
+	st := DispatcherState{Quarantine: d.known.State(), Departures: d.departed.State()}
 	services := maps.Clone(d.services)
 	d.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(services)) {
--- a/dispatch/prober.go
+++ b/dispatch/prober.go
@@ -68,12 +68,19 @@
 
 // probed draws the conclusions from a probe.
 func (s *serviceDispatcher) probed(e schedule.Endpoint, reply exchange.Reply, contract configuration.Contract) {
+	now := time.Now()
+	leaving := reply.Ending == outcome.Answered && contract.DrainHeader != "" && reply.Header.Get(contract.DrainHeader) != ""
+	if leaving {
+		s.owner.leaves(s.name, e.Address)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case reply.Ending == outcome.DialFailed:
-		s.scheduler.SetUnreachable(time.Now(), e.ID)
-	case reply.Ending == outcome.Answered && contract.DrainHeader != "" && reply.Header.Get(contract.DrainHeader) != "":
-		s.scheduler.SetLeaving(e.ID)
+		s.scheduler.SetUnreachable(now, e.ID)
+	case leaving:
+		s.scheduler.SetLeaving(now, e.Address)
+	case reply.Ending == outcome.Answered && s.scheduler.SetServing(now, e.Address):
+		s.owner.serves(e.Address)
 	}
 }
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -151,7 +151,8 @@
 	}
 	if after.Quarantined > before.Quarantined {
 		s.log.Warn().Int64("Requests", after.Quarantined-before.Quarantined).Msg("requests quarantined")
-		s.owner.Learn(s.suspects.Notices(time.Now(), maxNotices))
+		s.owner.LearnQuarantines(s.suspects.Notices(time.Now(), maxNotices))
+		s.owner.hurry(s.name)
 	}
 }
 
@@ -163,6 +164,11 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.scheduler.SetTargets(now, list)
+	for _, e := range list {
+		if s.owner.leaving(e.Address) {
+			s.scheduler.SetLeaving(now, e.Address)
+		}
+	}
 	next := make(map[id.Target]*connection)
 	for _, e := range list {
 		next[e.ID] = s.connection(ctx, e)
@@ -182,6 +188,15 @@
 	s.deliver(now)
 }
 
+// setLeaving takes leaving targets that a peer saw.
+func (s *serviceDispatcher) setLeaving(list []id.Address) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range list {
+		s.scheduler.SetLeaving(time.Now(), a)
+	}
+}
+
 const (
 	dialTimeout   = time.Second
 	idleLimit     = 30 * time.Second
@@ -301,7 +316,10 @@
 	return schedule.Decision{Kind: schedule.Refused, Reason: work.DeadlinePassed}
 }
 
-func (s *serviceDispatcher) finish(ticket schedule.Ticket, r schedule.Result) {
+func (s *serviceDispatcher) finish(ticket schedule.Ticket, target id.Address, r schedule.Result) {
+	if r.Draining {
+		s.owner.leaves(s.name, target)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
--- a/inifile/inifile.go
+++ b/inifile/inifile.go
@@ -100,11 +100,22 @@
 	f.problems = append(f.problems, Problem{File: f.name, Section: section, Key: key, Fault: fault, Accepted: accepted})
 }
 
-// Section returns the section of the given name, which must exist.
+// Section returns the section of the given name, which must exist. The keys of
+// a missing section are not reported besides.
 func (f *File) Section(name string) *Section {
+	s, err := f.doc.GetSection(name)
+	if err == nil {
+		return f.section(s)
+	}
+	f.problem(name, "", "section is missing", "")
+	f.known[name] = []string{}
+	return &Section{file: &File{known: f.known}, ini: ini.Empty().Section(name)}
+}
+
+// Optional returns the section of the given name, or an empty one.
+func (f *File) Optional(name string) *Section {
 	s, err := f.doc.GetSection(name)
 	if err != nil {
-		f.problem(name, "", "section is missing", "")
 		s = ini.Empty().Section(name)
 	}
 	return f.section(s)
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,75 @@
+package ledger
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/outcome"
+	"github.com/briarrouter/briarrouter/scripttest"
+	"github.com/briarrouter/briarrouter/unit"
+	"github.com/briarrouter/briarrouter/work"
+)
+
+const self id.Incarnation = 0xabc
+
+// TestScripts claims and settles keys of one incarnation. The word "own" in a
+// key stands for the incarnation.
+func TestScripts(t *testing.T) {
+	scripttest.Run(t, ".script", func(*testing.T) func([]string) string {
+		clock := scripttest.NewClock()
+		s := &script{clock: clock, table: New(Config{
+			Incarnation: self, Start: clock.Now(), Epoch: time.Minute, Keys: 3, Answers: 10,
+		}), started: make(map[id.Key]*Entry)}
+		return s.execute
+	})
+}
+
+type script struct {
+	clock   *scripttest.Clock
+	table   *Table
+	started map[id.Key]*Entry
+}
+
+func (s *script) execute(w []string) string {
+	switch w[0] {
+	case "wait":
+		return s.clock.Wait(w[1])
+	case "prefix":
+		return s.table.Prefix(s.clock.Now())
+	case "claim":
+		return s.claim(key(w[1]), w[2])
+	case "settle":
+		s.table.Settle(key(w[1]), s.started[key(w[1])], answer(outcome.Outcome(w[2]), w[3:]))
+		return ""
+	case "state":
+		return fmt.Sprintf("%+v", s.table.State(s.clock.Now()))
+	default:
+		return "unknown command"
+	}
+}
+
+func key(word string) id.Key { return id.Key(strings.Replace(word, "own", self.String(), 1)) }
+
+func answer(o outcome.Outcome, body []string) work.Answer {
+	a := work.Answer{Outcome: o, Status: 200}
+	if len(body) > 0 {
+		a.Held = []byte(body[0])
+		a.Size = unit.Bytes(len(a.Held))
+	}
+	return a
+}
+
+func (s *script) claim(k id.Key, contents string) string {
+	req := work.Request{Method: "POST", URI: contents}
+	verdict, e := s.table.Claim(s.clock.Now(), k, req.Fingerprint())
+	if verdict == Start {
+		s.started[k] = e
+	}
+	if verdict == Recorded {
+		return fmt.Sprintf("%s %s %d %q %s", verdict, e.Answer.Outcome, e.Answer.Status, e.Answer.Held, e.Answer.Reason)
+	}
+	return string(verdict)
+}
--- a/load/arrival.go
+++ b/load/arrival.go
@@ -22,6 +22,7 @@
 	load   *Load
 	due    time.Time
 	number uint64
+	steer  *steerer
 	class  Class
 	choice choice
 	cost   time.Duration
@@ -72,7 +73,7 @@
 func (a *arrival) try(ctx context.Context, try int) Verdict {
 	ctx, cancel := context.WithTimeout(ctx, a.choice.request.AnswerWithin+time.Second)
 	defer cancel()
-	addresses, err := a.load.steer.addresses(ctx, a.choice.service)
+	addresses, err := a.steer.addresses(ctx, a.choice.service)
 	if err != nil {
 		return Lost
 	}
@@ -83,10 +84,13 @@
 	body := a.body()
 	resp, err := a.send(ctx, address, body)
 	if err != nil {
-		a.load.steer.forget(a.choice.service)
+		a.steer.forget(a.choice.service)
 		return Lost
 	}
 	defer resp.Body.Close()
+	if reason := resp.Header.Get(message.ReasonField); reason != "" {
+		a.load.report.addReason(reason)
+	}
 	answer, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return Lost
@@ -122,9 +126,6 @@
 	return a.load.client.Do(req)
 }
 
-// accounts is how many callers' accounts the load uses.
-const accounts = 50
-
 // judge compares an answer with what the target must have sent.
 func (a *arrival) judge(resp *http.Response, answer, body []byte) Verdict {
 	switch outcome.Outcome(resp.Header.Get(message.OutcomeField)) {
--- a/load/load.go
+++ b/load/load.go
@@ -41,8 +41,9 @@
 type Load struct {
 	cfg    Config
 	client *http.Client
-	steer  *steerer
-	random *rand.Rand
+	// steerers holds what each account knows about addresses.
+	steerers []*steerer
+	random   *rand.Rand
 	// byClass lists the requests to choose from.
 	byClass map[Class][]choice
 	report  *Report
@@ -70,6 +71,9 @@
 	weight float64
 }
 
+// accounts is how many callers' accounts the load uses.
+const accounts = 50
+
 const (
 	dialTimeout   = time.Second
 	idlePerDaemon = 256
@@ -86,11 +90,13 @@
 	l := &Load{
 		cfg:     cfg,
 		client:  client,
-		steer:   newSteerer(client, cfg.Entries, cfg.Seed),
 		random:  rand.New(rand.NewPCG(cfg.Seed, 0)),
 		byClass: make(map[Class][]choice),
 		report:  newReport(),
 	}
+	for i := range accounts {
+		l.steerers = append(l.steerers, newSteerer(client, cfg.Entries, cfg.Seed+uint64(i)))
+	}
 	for _, s := range cfg.Questionnaire.Services {
 		for _, r := range s.Requests {
 			c := classOf(r)
@@ -143,10 +149,12 @@
 	if class == Long {
 		mean = l.cfg.LongTime
 	}
+	number := l.next.Add(1)
 	return &arrival{
 		load:   l,
 		due:    due,
-		number: l.next.Add(1),
+		number: number,
+		steer:  l.steerers[number%accounts],
 		class:  class,
 		choice: c,
 		cost:   time.Duration(l.random.ExpFloat64() * float64(mean)),
--- a/load/report.go
+++ b/load/report.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +23,8 @@
 	times map[Class]*hdrhistogram.Histogram
 	// verdicts gives the verdict of each piece of work.
 	verdicts map[string]Verdict
+	// reasons counts the answers that the system gave itself.
+	reasons map[string]int
 }
 
 const (
@@ -33,6 +37,7 @@
 		counts:   make(map[Class]map[Verdict]int),
 		times:    make(map[Class]*hdrhistogram.Histogram),
 		verdicts: make(map[string]Verdict),
+		reasons:  make(map[string]int),
 	}
 	for _, c := range Classes {
 		r.counts[c] = make(map[Verdict]int)
@@ -51,6 +56,12 @@
 	}
 }
 
+func (r *Report) addReason(reason string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reasons[reason]++
+}
+
 // Promise is a promise and whether the run kept it.
 type Promise struct {
 	Text string
@@ -133,5 +144,8 @@
 		}
 		fmt.Fprintln(out)
 	}
+	for _, reason := range slices.Sorted(maps.Keys(r.reasons)) {
+		fmt.Fprintf(out, "answers of the system itself, %s: %d\n", reason, r.reasons[reason])
+	}
 	fmt.Fprintf(out, "answered: %.2f%% of the requests in %s; times count from when a request was due\n", 100*r.Share(), r.Elapsed.Round(time.Millisecond))
 }
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/briarrouter/briarrouter/departure"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/peer/peerpb"
 	"github.com/briarrouter/briarrouter/quarantine"
@@ -45,20 +46,43 @@
 	return members
 }
 
-func encodeNews(self roster.Member, members []roster.Member, v id.ConfigVersion, notices []quarantine.Notice) *peerpb.News {
-	n := &peerpb.News{
-		From:    encodeMember(self),
-		InForce: &peerpb.Version{Number: v.Number, Digest: v.Digest},
+func encodeMembers(list []roster.Member) []*peerpb.Member {
+	var members []*peerpb.Member
+	for _, m := range list {
+		members = append(members, encodeMember(m))
 	}
-	for _, m := range members {
-		n.Members = append(n.Members, encodeMember(m))
+	return members
+}
+
+func encodeNotices(list []quarantine.Notice) []*peerpb.Notice {
+	var notices []*peerpb.Notice
+	for _, q := range list {
+		notices = append(notices, &peerpb.Notice{Fingerprint: uint64(q.Fingerprint), LeftMilliseconds: uint32(q.Left.Milliseconds())})
 	}
-	for _, q := range notices {
-		n.Notices = append(n.Notices, &peerpb.Notice{
-			Fingerprint: uint64(q.Fingerprint), LeftMilliseconds: uint32(q.Left.Milliseconds()),
+	return notices
+}
+
+func encodeDepartures(list []departure.Notice) []*peerpb.Departure {
+	var departures []*peerpb.Departure
+	for _, d := range list {
+		departures = append(departures, &peerpb.Departure{Address: string(d.Address), AgeMilliseconds: uint32(d.Age.Milliseconds())})
+	}
+	return departures
+}
+
+func decodeDepartures(list []*peerpb.Departure) []departure.Notice {
+	var notices []departure.Notice
+	for _, d := range list[:min(len(list), maxNotices)] {
+		notices = append(notices, departure.Notice{
+			Address: id.Address(d.GetAddress()),
+			Age:     time.Duration(d.GetAgeMilliseconds()) * time.Millisecond,
 		})
 	}
-	return n
+	return notices
+}
+
+func encodeVersion(v id.ConfigVersion) *peerpb.Version {
+	return &peerpb.Version{Number: v.Number, Digest: v.Digest}
 }
 
 func decodeVersion(v *peerpb.Version) id.ConfigVersion {
--- a/peer/link.go
+++ b/peer/link.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/briarrouter/briarrouter/configuration"
@@ -29,6 +31,12 @@
 	offers chan id.ConfigVersion
 	ctx    context.Context
 	cancel context.CancelFunc
+	// doubted tells that the last probe was not answered.
+	doubted atomic.Bool
+
+	mu sync.Mutex
+	// outstanding holds what ends each relay that may be sent elsewhere.
+	outstanding map[*relay]bool
 }
 
 const (
@@ -62,10 +70,11 @@
 			AnswerBuffer: s.cfg.Limits.AnswerBuffer,
 			Memory:       s.cfg.Memory,
 		}),
-		turns:  make(chan struct{}, 1),
-		offers: make(chan id.ConfigVersion, 1),
-		ctx:    ctx,
-		cancel: cancel,
+		turns:       make(chan struct{}, 1),
+		offers:      make(chan id.ConfigVersion, 1),
+		ctx:         ctx,
+		cancel:      cancel,
+		outstanding: make(map[*relay]bool),
 	}
 }
 
@@ -108,14 +117,20 @@
 	l.http.CloseIdleConnections()
 }
 
+// probeParts is the part of the time between probes in which a probe must be
+// answered.
+const probeParts = 4
+
 // probe asks the peer for its news. Where it does not answer, other peers are
 // asked to try, since the way to it may be broken for this daemon alone.
 func (l *link) probe(ctx context.Context) {
-	limit := l.service.cfg.Timing.Probe / 2
+	limit := l.service.cfg.Timing.Probe / probeParts
 	started := time.Now()
 	if l.ping(ctx, limit) {
+		l.doubted.Store(false)
 		return
 	}
+	l.doubt()
 	reached := l.pingVia(ctx, limit)
 	// A process that was paused meanwhile heard nobody; that is no evidence.
 	paused := time.Since(started) > 2*pauseFactor*limit
@@ -124,6 +139,16 @@
 	}
 }
 
+// doubt sends the relays to the peer elsewhere that may be sent elsewhere.
+func (l *link) doubt() {
+	l.doubted.Store(true)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for r := range l.outstanding {
+		r.cancel(errPeerLost)
+	}
+}
+
 func (l *link) ping(ctx context.Context, limit time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/departure"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/kernel"
 	"github.com/briarrouter/briarrouter/memory"
@@ -21,6 +22,7 @@
 	"github.com/briarrouter/briarrouter/roster"
 	"github.com/briarrouter/briarrouter/router"
 	"github.com/briarrouter/briarrouter/settings"
+	"github.com/briarrouter/briarrouter/steering"
 	"github.com/briarrouter/briarrouter/work"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
@@ -37,10 +39,14 @@
 	Offer(docs configuration.Documents, source string) configuration.Verdict
 }
 
-// quarantines is what the daemon knows about requests that crash targets.
-type quarantines interface {
-	Notices(n int) []quarantine.Notice
-	Learn(notices []quarantine.Notice)
+// sightings is what the daemon saw of targets and must tell its peers.
+type sightings interface {
+	Quarantines(n int) []quarantine.Notice
+	LearnQuarantines(notices []quarantine.Notice)
+	Departures(n int) []departure.Notice
+	LearnDepartures(notices []departure.Notice)
+	// Urgent gives services with news that their standbys need at once.
+	Urgent() <-chan id.Service
 }
 
 // handler answers requests that peers relay.
@@ -63,9 +69,9 @@
 
 // Service is this daemon among its peers.
 type Service struct {
-	cfg         Config
-	store       store
-	quarantines quarantines
+	cfg       Config
+	store     store
+	sightings sightings
 	// kernel is where the handler of relayed requests is found once it is
 	// registered; it needs this service, so it starts later.
 	kernel *kernel.Kernel
@@ -106,7 +112,7 @@
 	if s.store, err = kernel.Find[store](k, configuration.ServiceName); err != nil {
 		return err
 	}
-	if s.quarantines, err = kernel.Find[quarantines](k, "dispatch"); err != nil {
+	if s.sightings, err = kernel.Find[sightings](k, "dispatch"); err != nil {
 		return err
 	}
 	listener, err := net.Listen("tcp", string(s.cfg.Self.Peers))
@@ -159,11 +165,20 @@
 	return s.table.Self()
 }
 
-// Members returns every daemon that is known, with this one.
+// Members returns every daemon that is known, with this one. One that did not
+// answer this daemon's last probe counts as suspected here, before the others
+// were asked about it.
 func (s *Service) Members() []roster.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Members()
+	members := s.table.Members()
+	for i := range members {
+		m := &members[i]
+		if l := s.links[m.Host]; l != nil && m.State == roster.Alive && l.doubted.Load() {
+			m.State = roster.Suspect
+		}
+	}
+	return members
 }
 
 // Find returns the daemon that runs the given incarnation.
@@ -241,15 +256,34 @@
 // loop gives the links their turns to probe and lets time pass for the roster.
 func (s *Service) loop(ctx context.Context) {
 	last := time.Now()
+	timer := time.NewTimer(s.interval())
+	defer timer.Stop()
 	for {
-		timer := time.NewTimer(s.interval())
 		select {
 		case <-ctx.Done():
-			timer.Stop()
 			return
 		case now := <-timer.C:
 			s.turn(now, now.Sub(last))
 			last = now
+			timer.Reset(s.interval())
+		case service := <-s.sightings.Urgent():
+			s.tellStandbys(service)
+		}
+	}
+}
+
+// standbys is how many of a service's daemons are told at once what its
+// dispatcher saw.
+const standbys = 4
+
+// tellStandbys gives the links to a service's daemons a turn.
+func (s *Service) tellStandbys(service id.Service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ranked := steering.Rank(service, s.table.Members())
+	for _, m := range ranked[:min(standbys, len(ranked))] {
+		if l := s.links[m.Host]; l != nil {
+			l.wake()
 		}
 	}
 }
@@ -325,10 +359,16 @@
 
 // news returns what a message to the receiver carries.
 func (s *Service) news(receiver id.Host) *peerpb.News {
-	notices := s.quarantines.Notices(maxNotices)
+	n := &peerpb.News{
+		InForce:    encodeVersion(s.store.Version()),
+		Notices:    encodeNotices(s.sightings.Quarantines(maxNotices)),
+		Departures: encodeDepartures(s.sightings.Departures(maxNotices)),
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return encodeNews(s.table.Self(), s.table.News(maxMembers, receiver), s.store.Version(), notices)
+	n.From = encodeMember(s.table.Self())
+	n.Members = encodeMembers(s.table.News(maxMembers, receiver))
+	return n
 }
 
 // heard takes the news of a peer that answered or asked.
@@ -344,8 +384,9 @@
 	s.connect()
 	l := s.links[from.Host]
 	s.mu.Unlock()
-	s.quarantines.Learn(decodeNotices(n.GetNotices()))
-	if l != nil {
+	s.sightings.LearnQuarantines(decodeNotices(n.GetNotices()))
+	s.sightings.LearnDepartures(decodeDepartures(n.GetDepartures()))
+	if l != nil && n.GetInForce() != nil {
 		l.offer(decodeVersion(n.GetInForce()))
 	}
 }
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -34,12 +34,25 @@
 	versionField     = message.Prefix + "Version"
 )
 
+// stallAfter is how long a relayed request may go without an answer before the
+// peer is probed.
+const stallAfter = 250 * time.Millisecond
+
+var errPeerLost = errors.New("peer does not answer probes")
+
+// relay is one relayed request that waits for its answer.
+type relay struct{ cancel context.CancelCauseFunc }
+
 // Relay sends a request to a peer.
 func (s *Service) Relay(ctx context.Context, to roster.Member, req *work.Request, purpose router.Purpose) (work.Answer, outcome.Ending) {
 	l := s.link(to.Host)
 	if l == nil {
 		return work.Answer{}, outcome.DialFailed
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	r := &relay{cancel: cancel}
+	stall := time.AfterFunc(stallAfter, l.wake)
+	l.begin(r, req)
 	reply := l.relays.Do(ctx, exchange.Call{
 		Method:     req.Method,
 		URI:        relayPath + req.URI,
@@ -50,15 +63,47 @@
 		EchoHeader: message.RequestField,
 		Echo:       string(req.ID),
 	})
+	stall.Stop()
+	l.end(r)
+	if reply.Ending == outcome.Cancelled && context.Cause(ctx) == errPeerLost {
+		reply.Ending = outcome.Lost
+	}
 	s.cfg.Scope.Tagged(map[string]string{"ending": string(reply.Ending)}).Counter("relays").Inc(1)
 	if reply.Ending != outcome.Answered {
-		s.cfg.Log.Debug().Str("Peer", string(to.Host)).Str("Ending", string(reply.Ending)).AnErr("Cause", reply.Err).Msg("relay failed")
-		if reply.Ending == outcome.DialFailed {
-			l.wake()
-		}
+		cancel(nil)
+		s.relayFailed(l, reply)
 		return work.Answer{}, reply.Ending
 	}
-	return decodeAnswer(reply)
+	answer, ending := decodeAnswer(reply)
+	done := answer.Done
+	answer.Done = func() {
+		cancel(nil)
+		done()
+	}
+	return answer, ending
+}
+
+func (s *Service) relayFailed(l *link, reply exchange.Reply) {
+	s.cfg.Log.Debug().Str("Peer", string(l.host)).Str("Ending", string(reply.Ending)).AnErr("Cause", reply.Err).Msg("relay failed")
+	if reply.Ending == outcome.DialFailed {
+		l.wake()
+	}
+}
+
+// begin notes a relay that may be sent elsewhere while no answer came.
+func (l *link) begin(r *relay, req *work.Request) {
+	if !req.Idempotent || !req.Body.Replayable() {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outstanding[r] = true
+}
+
+func (l *link) end(r *relay) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.outstanding, r)
 }
 
 func (s *Service) relayHeader(to roster.Member, req *work.Request, purpose router.Purpose) http.Header {
@@ -98,7 +143,7 @@
 	case outcome.Ran, outcome.NotRun, outcome.Unknown:
 	default:
 		a.Close()
-		return work.Answer{}, outcome.Malformed
+		return work.Answer{Done: func() {}}, outcome.Malformed
 	}
 	if seconds, err := strconv.Atoi(reply.Header.Get("Retry-After")); err == nil && a.Reason != work.NoReason {
 		a.RetryAfter = time.Duration(seconds) * time.Second
--- a/peer/server.go
+++ b/peer/server.go
@@ -48,7 +48,7 @@
 	if l == nil || string(l.address) != d.GetPeers() {
 		return &peerpb.Reached{}, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.cfg.Timing.Probe/2)
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.Timing.Probe/probeParts)
 	defer cancel()
 	news, err := l.client.Ping(ctx, s.news(l.host))
 	if err != nil || id.Host(news.GetFrom().GetHost()) != l.host {
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,115 @@
+package roster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/scripttest"
+)
+
+// TestScripts lets daemons a, b and c, each with a view of its own, tell each
+// other what they saw.
+func TestScripts(t *testing.T) {
+	scripttest.Run(t, ".script", func(*testing.T) func([]string) string {
+		s := &script{clock: scripttest.NewClock(), views: make(map[id.Host]*Table)}
+		for i, host := range []id.Host{"a", "b", "c"} {
+			s.start(host, id.Incarnation(i+1))
+		}
+		return s.execute
+	})
+}
+
+type script struct {
+	clock *scripttest.Clock
+	views map[id.Host]*Table
+}
+
+func (s *script) start(host id.Host, i id.Incarnation) {
+	s.views[host] = New(Config{
+		Self:    Member{Host: host, Incarnation: i, Callers: id.Address(host), Peers: id.Address(host), State: Alive},
+		Suspect: 2 * time.Second,
+		Random:  rand.New(rand.NewPCG(1, uint64(i))),
+	})
+}
+
+func (s *script) execute(w []string) string {
+	now := s.clock.Now()
+	switch w[0] {
+	case "wait":
+		return s.clock.Wait(w[1])
+	case "restart":
+		n, _ := strconv.Atoi(w[2])
+		s.start(id.Host(w[1]), id.Incarnation(n))
+		return ""
+	case "ping":
+		s.ping(id.Host(w[1]), id.Host(w[2]))
+		return ""
+	case "missed":
+		s.views[id.Host(w[1])].Missed(now, id.Host(w[2]))
+		return ""
+	case "tick":
+		s.views[id.Host(w[1])].Tick(now)
+		return ""
+	case "woke":
+		s.views[id.Host(w[1])].Woke(now)
+		return ""
+	case "leave":
+		s.views[id.Host(w[1])].SetState(Leaving)
+		return ""
+	case "list":
+		return s.list(id.Host(w[1]), w[2:])
+	case "view":
+		return s.view(id.Host(w[1]))
+	case "probes":
+		return s.probes(id.Host(w[1]), w[2])
+	default:
+		return "unknown command"
+	}
+}
+
+// ping exchanges news both ways.
+func (s *script) ping(from, to id.Host) {
+	now := s.clock.Now()
+	a, b := s.views[from], s.views[to]
+	self, news := a.Self(), a.News(8, to)
+	b.Heard(now, self)
+	b.Merge(now, news)
+	self, news = b.Self(), b.News(8, from)
+	a.Heard(now, self)
+	a.Merge(now, news)
+}
+
+func (s *script) list(host id.Host, names []string) string {
+	var list []Listed
+	for _, n := range names {
+		name, leaving := strings.CutSuffix(n, "!")
+		list = append(list, Listed{Host: id.Host(name), Callers: id.Address(name), Peers: id.Address(name), Leaving: leaving})
+	}
+	s.views[host].SetListed(s.clock.Now(), list)
+	return ""
+}
+
+func (s *script) view(host id.Host) string {
+	var words []string
+	for _, m := range s.views[host].Members() {
+		words = append(words, fmt.Sprintf("%s:%d.%d:%s", m.Host, m.Incarnation, m.Sequence, m.State))
+	}
+	return strings.Join(words, " ")
+}
+
+// probes counts the members that a number of turns probe.
+func (s *script) probes(host id.Host, turns string) string {
+	n, _ := strconv.Atoi(turns)
+	counts := make(map[id.Host]int)
+	for range n {
+		if m, ok := s.views[host].NextProbe(); ok {
+			counts[m.Host]++
+		}
+	}
+	return fmt.Sprint(counts)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -138,6 +139,7 @@
 	if req.Deadline.IsZero() {
 		req.Deadline = time.Now().Add(m.Route.Timeout)
 	}
+	req.Idempotent = m.Route.Idempotent
 	if req.Key != "" && !m.Route.Idempotent && purpose != ToDispatcher {
 		return r.keyed(ctx, req, m)
 	}
@@ -291,5 +293,5 @@
 // Addresses returns the daemons that a caller of the service should use, at
 // most n.
 func (r *Router) Addresses(s id.Service, n int) []roster.Member {
-	return steering.Answers(s, r.peers.Members(), r.peers.Self(), n)
+	return steering.Answers(s, r.peers.Members(), r.peers.Self(), n, rand.IntN(n))
 }
--- /dev/null
+++ b/schedule/schedule_test.go
@@ -0,0 +1,170 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/outcome"
+	"github.com/briarrouter/briarrouter/quarantine"
+	"github.com/briarrouter/briarrouter/scripttest"
+	"github.com/briarrouter/briarrouter/unit"
+	"github.com/briarrouter/briarrouter/work"
+)
+
+// TestScripts lets jobs arrive at a service with the targets t1, t2 and so on.
+func TestScripts(t *testing.T) {
+	scripttest.Run(t, ".script", func(*testing.T) func([]string) string {
+		s := &script{
+			clock: scripttest.NewClock(),
+			policy: &configuration.Service{
+				Name: "beds", Slots: 2, Floor: 1, LongShare: 0.5, Queue: 4, Evidence: 8,
+				FirstEjection: 5 * time.Second, Shares: map[id.Caller]int{"nurse": 4},
+			},
+			names: make(map[Ticket]string),
+		}
+		s.scheduler = New(s.policy, quarantine.New(), rand.New(rand.NewPCG(1, 1)))
+		return s.execute
+	})
+}
+
+type script struct {
+	clock     *scripttest.Clock
+	policy    *configuration.Service
+	scheduler *Scheduler
+	names     map[Ticket]string
+}
+
+func (s *script) execute(w []string) string {
+	now := s.clock.Now()
+	switch w[0] {
+	case "wait":
+		s.clock.Wait(w[1])
+		s.scheduler.Tick(s.clock.Now())
+		return s.next()
+	case "floor", "warmup":
+		return s.set(w[0], w[1])
+	case "targets":
+		return s.targets(w[1:])
+	case "arrive":
+		return s.arrive(w[1], w[2:])
+	case "finish":
+		return s.finish(w[1], outcome.Ending(w[2]), w[3:])
+	case "serving":
+		return fmt.Sprint(s.scheduler.SetServing(now, id.Address(w[1])))
+	case "state":
+		return s.state()
+	default:
+		return "unknown command"
+	}
+}
+
+func (s *script) set(name, value string) string {
+	policy := *s.policy
+	if name == "floor" {
+		n, _ := strconv.Atoi(value)
+		policy.Floor = unit.Targets(n)
+	} else {
+		policy.Warmup, _ = time.ParseDuration(value)
+	}
+	s.policy = &policy
+	s.scheduler.SetPolicy(s.policy)
+	return ""
+}
+
+func (s *script) targets(names []string) string {
+	var list []Endpoint
+	for _, n := range names {
+		name, leaving := strings.CutSuffix(n, "!")
+		list = append(list, Endpoint{ID: id.Target(name), Address: id.Address(name), Leaving: leaving})
+	}
+	s.scheduler.SetTargets(s.clock.Now(), list)
+	return s.next()
+}
+
+// arrive takes the job's name and options: long, unsafe, in=SPAN for the
+// deadline, by=CALLER, like=NAME for the same contents as another job.
+func (s *script) arrive(name string, options []string) string {
+	route := configuration.Route{Name: "read", Idempotent: true}
+	job := Job{Ticket: Ticket(len(s.names) + 1), Deadline: s.clock.Now().Add(time.Second)}
+	contents := name
+	for _, o := range options {
+		key, value, _ := strings.Cut(o, "=")
+		switch key {
+		case "long":
+			route.Name, route.Long = "upload", true
+		case "unsafe":
+			route.Name, route.Idempotent = "reserve", false
+		case "in":
+			d, _ := time.ParseDuration(value)
+			job.Deadline = s.clock.Now().Add(d)
+		case "by":
+			job.Caller = id.Caller(value)
+		case "like":
+			contents = value
+		}
+	}
+	job.Route = &route
+	job.Fingerprint = (&work.Request{URI: contents}).Fingerprint()
+	s.names[job.Ticket] = name
+	lines := decision(name, s.scheduler.Arrive(s.clock.Now(), job))
+	if events := s.next(); events != "" {
+		lines += "\n" + events
+	}
+	return lines
+}
+
+func decision(name string, d Decision) string {
+	switch d.Kind {
+	case Granted:
+		return fmt.Sprintf("%s runs on %s", name, d.Endpoint.ID)
+	case Refused:
+		return fmt.Sprintf("%s is refused: %s", name, d.Reason)
+	default:
+		return name + " waits"
+	}
+}
+
+func (s *script) next() string {
+	var lines []string
+	for _, e := range s.scheduler.Next(s.clock.Now()) {
+		lines = append(lines, decision(s.names[e.Ticket], e.Decision))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// finish takes the ending and options: SPAN for the time on the target, wrong,
+// draining.
+func (s *script) finish(name string, e outcome.Ending, options []string) string {
+	r := Result{Ending: e, Elapsed: 10 * time.Millisecond}
+	for _, o := range options {
+		switch o {
+		case "wrong":
+			r.Wrong = true
+		case "draining":
+			r.Draining = true
+		default:
+			r.Elapsed, _ = time.ParseDuration(o)
+		}
+	}
+	for ticket, n := range s.names {
+		if _, runs := s.scheduler.granted[ticket]; runs && n == name {
+			s.scheduler.Finish(s.clock.Now(), ticket, r)
+		}
+	}
+	return s.next()
+}
+
+func (s *script) state() string {
+	st := s.scheduler.State(s.clock.Now())
+	lines := []string{fmt.Sprintf("running %d waiting %d", st.Running, st.Waiting)}
+	for _, t := range st.Targets {
+		lines = append(lines, strings.TrimSpace(fmt.Sprintf("%s runs %d of %d, %s %s", t.Target, t.Running, t.Capacity, t.Health.State, t.Why)))
+	}
+	return strings.Join(lines, "\n")
+}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -125,7 +125,9 @@
 			t = s.newTarget(now, e, first)
 		}
 		t.endpoint = e
-		t.leaving = t.leaving || e.Leaving
+		if e.Leaving {
+			t.leave(now)
+		}
 		next[e.ID] = t
 	}
 	names := slices.Sorted(maps.Keys(next))
@@ -147,13 +149,27 @@
 	return t
 }
 
-// SetLeaving records a sign that a target is leaving.
-func (s *Scheduler) SetLeaving(name id.Target) {
+// SetLeaving records a sign that the target at an address is leaving.
+func (s *Scheduler) SetLeaving(now time.Time, address id.Address) {
 	for _, t := range s.targets {
-		if t.endpoint.ID == name {
-			t.leaving = true
+		if t.endpoint.Address == address {
+			t.leave(now)
+		}
+	}
+	s.tellAbsent(now)
+}
+
+// SetServing records that a target's health endpoint gave no sign of leaving,
+// and reports whether the target is back from leaving.
+func (s *Scheduler) SetServing(now time.Time, address id.Address) bool {
+	back := false
+	for _, t := range s.targets {
+		if t.endpoint.Address == address && t.serves(now) {
+			back = true
 		}
 	}
+	s.tellAbsent(now)
+	return back
 }
 
 // SetUnreachable records that a target could not be connected to.
@@ -421,7 +437,9 @@
 	t.long -= count(g.job.Route.Long)
 	t.suspect -= count(g.suspect)
 	s.queue.ended(g.job.Caller)
-	t.leaving = t.leaving || r.Draining
+	if r.Draining {
+		t.leave(now)
+	}
 	s.learn(now, g, r)
 	s.tellAbsent(now)
 }
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -34,9 +34,9 @@
 	// limit is how many requests the target showed that it takes; between 1
 	// and the declared slots.
 	limit float64
-	// leaving is set by the first sign of leaving and never taken back while
-	// the endpoint is listed.
-	leaving bool
+	// leaving is set by the first sign of leaving. lastSign is the last one.
+	leaving  bool
+	lastSign time.Time
 	// unfitUntil is when the next request may be tried after a failed
 	// connection, unfitFor the length of that wait; zero after a success.
 	unfitUntil time.Time
@@ -61,6 +61,23 @@
 	return capacity
 }
 
+// leave records a sign of leaving.
+func (t *target) leave(now time.Time) { t.leaving, t.lastSign = true, now }
+
+// returnAfter is how long a target must give no sign of leaving before it is
+// believed that it serves again. Health endpoints lag.
+const returnAfter = 15 * time.Second
+
+// serves records that the target's health endpoint gave no sign of leaving,
+// and reports whether the target is back.
+func (t *target) serves(now time.Time) bool {
+	if !t.leaving || t.endpoint.Leaving || now.Sub(t.lastSign) < returnAfter {
+		return false
+	}
+	t.leaving, t.warmSince = false, now
+	return true
+}
+
 // unreachable keeps the target out for a time that doubles.
 func (t *target) unreachable(now time.Time) {
 	t.unfitFor = min(max(2*t.unfitFor, firstUnfit), maxUnfit)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -107,7 +107,7 @@
 }
 
 func readLimits(f *inifile.File) Limits {
-	s := f.Section("Limits")
+	s := f.Optional("Limits")
 	l := Limits{
 		Buffers:           s.BytesOr("Buffers", unit.MiB, 4*unit.GiB, 64*unit.MiB),
 		RequestHeader:     s.BytesOr("RequestHeader", unit.KiB, unit.MiB, 16*unit.KiB),
@@ -127,7 +127,7 @@
 }
 
 func readTiming(f *inifile.File) Timing {
-	s := f.Section("Timing")
+	s := f.Optional("Timing")
 	t := Timing{
 		Hold:       s.DurationOr("Hold", time.Second, 10*time.Minute, 5*time.Second),
 		Epoch:      s.DurationOr("Epoch", 10*time.Second, 24*time.Hour, 10*time.Minute),
--- a/standin/target.go
+++ b/standin/target.go
@@ -159,6 +159,9 @@
 	}
 	if err := t.begin(r, d); err != nil {
 		w.Header().Set(NotRunField, err.Error())
+		if errors.Is(err, errDraining) {
+			w.Header().Set(DrainingField, "yes")
+		}
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
--- a/steering/steering.go
+++ b/steering/steering.go
@@ -58,11 +58,18 @@
 }
 
 // Answers returns the members whose addresses a caller of the service gets, at
-// most n. While no other member is known to serve, it names this daemon.
-func Answers(s id.Service, members []roster.Member, self roster.Member, n int) []roster.Member {
+// most n. A member that stands for the service names itself first, so that its
+// callers stay with it; any other one starts at the turn, so that callers
+// spread. While no other member is known to serve, it names this daemon.
+func Answers(s id.Service, members []roster.Member, self roster.Member, n, turn int) []roster.Member {
 	ranked := Rank(s, members)
 	if len(ranked) == 0 {
 		return []roster.Member{self}
 	}
-	return ranked[:min(n, len(ranked))]
+	ranked = ranked[:min(n, len(ranked))]
+	first := slices.IndexFunc(ranked, func(m roster.Member) bool { return m.Host == self.Host })
+	if first < 0 {
+		first = turn % len(ranked)
+	}
+	return append(slices.Clone(ranked[first:]), ranked[:first]...)
 }
--- /dev/null
+++ b/steering/steering_test.go
@@ -0,0 +1,90 @@
+package steering
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/roster"
+	"github.com/sebdah/goldie/v2"
+)
+
+var domains = []id.FailureDomain{"Milano", "Torino", "Verona", "Bologna"}
+
+func fleet(n int) []roster.Member {
+	var list []roster.Member
+	for i := range n {
+		list = append(list, roster.Member{
+			Host: id.Host(fmt.Sprintf("host-%02d", i+1)), FailureDomain: domains[i%len(domains)], State: roster.Alive,
+		})
+	}
+	return list
+}
+
+func hosts(list []roster.Member) string {
+	var words []string
+	for _, m := range list {
+		words = append(words, fmt.Sprintf("%s(%s)", m.Host, m.FailureDomain))
+	}
+	return strings.Join(words, " ")
+}
+
+// TestRank shows who stands for each of the Agency's services, and what
+// changes when the first one dies, leaves, or is all that is left.
+func TestRank(t *testing.T) {
+	var b strings.Builder
+	for _, s := range []id.Service{"vacancies", "reservations", "dossiers"} {
+		members := fleet(8)
+		ranked := Rank(s, members)
+		fmt.Fprintln(&b, s, "ranked:", hosts(ranked))
+		for _, state := range []roster.State{roster.Dead, roster.Leaving, roster.Suspect, roster.Joining} {
+			fmt.Fprintln(&b, s, "first is", state, ":", hosts(Rank(s, with(members, ranked[0].Host, state))[:4]))
+		}
+	}
+	suspects := fleet(2)
+	suspects[0].State, suspects[1].State = roster.Suspect, roster.Dead
+	fmt.Fprintln(&b, "suspects only:", hosts(Rank("vacancies", suspects)))
+	goldie.New(t).Assert(t, "rank", []byte(b.String()))
+}
+
+func with(members []roster.Member, host id.Host, state roster.State) []roster.Member {
+	changed := append([]roster.Member(nil), members...)
+	for i := range changed {
+		if changed[i].Host == host {
+			changed[i].State = state
+		}
+	}
+	return changed
+}
+
+// TestAnswers shows the addresses that different daemons give.
+func TestAnswers(t *testing.T) {
+	var b strings.Builder
+	members := fleet(8)
+	for _, self := range members {
+		fmt.Fprintln(&b, self.Host, "answers:", hosts(Answers("reservations", members, self, 4, 1)))
+	}
+	lonely := roster.Member{Host: "host-09", State: roster.Joining}
+	fmt.Fprintln(&b, "nobody is known:", hosts(Answers("reservations", nil, lonely, 4, 1)))
+	goldie.New(t).Assert(t, "answers", []byte(b.String()))
+}
+
+// TestMovement counts the services that move when hosts come and go: the
+// share of one host, and no more.
+func TestMovement(t *testing.T) {
+	var b strings.Builder
+	const services = 370
+	for _, n := range []int{40, 160, 940} {
+		members := fleet(n)
+		moved := 0
+		for i := range services {
+			s := id.Service(fmt.Sprintf("service-%d", i))
+			if Rank(s, members)[0].Host != Rank(s, members[:n-1])[0].Host {
+				moved++
+			}
+		}
+		fmt.Fprintf(&b, "%d hosts: one leaves, %d of %d services move\n", n, moved, services)
+	}
+	goldie.New(t).Assert(t, "movement", []byte(b.String()))
+}
--- a/work/work.go
+++ b/work/work.go
@@ -32,6 +32,9 @@
 	Body   Body
 	// Deadline is zero until the route is known, where the caller named none.
 	Deadline time.Time
+	// Idempotent tells that the request may be run more than once; false until
+	// the route is known.
+	Idempotent bool
 	// Hops counts the daemons that relayed the request to this one.
 	Hops int
 }
