Prove what each ending of an exchange says, by scripts

Cause: 'not run' must rest on proof; the endings of an exchange had no test.

Change: scripts of server behaviour over net.Pipe in synctest bubbles: refused, closed, cut, late, crossed, unframed, conflicting lengths, oversized heads, streams, and reuse of connections; golden files hold ending and outcome.

--- /dev/null
+++ b/exchange/exchange_test.go
@@ -0,0 +1,182 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/briarrouter/briarrouter/memory"
+	"github.com/briarrouter/briarrouter/outcome"
+	"github.com/briarrouter/briarrouter/scripttest"
+	"github.com/briarrouter/briarrouter/unit"
+	"github.com/briarrouter/briarrouter/work"
+)
+
+// TestScripts sends requests to a server that does what the script says on
+// each connection, a step after the other.
+func TestScripts(t *testing.T) {
+	scripttest.Run(t, ".script", func(t *testing.T) func([]string) string {
+		s := &script{gate: memory.New(64)}
+		s.pool = New(Config{
+			Address: "server", Connections: 2, DialTimeout: time.Second, IdleLimit: time.Minute,
+			HeadLimit: 200, AnswerBuffer: 20, Memory: s.gate, Dial: s.dial,
+		})
+		t.Cleanup(func() {
+			s.pool.Close()
+			s.cancel()
+			time.Sleep(longestStep)
+		})
+		return s.execute
+	})
+}
+
+// longestStep is longer than any step of a server.
+const longestStep = 2 * time.Hour
+
+type script struct {
+	gate *memory.Gate
+	pool *Pool
+	// steps is what the server does on the next connection.
+	steps []string
+	last  Reply
+	// cancel ends the context of the last call.
+	cancel context.CancelFunc
+}
+
+func (s *script) execute(w []string) string {
+	switch w[0] {
+	case "server":
+		s.pool.Trim(time.Now().Add(time.Hour))
+		s.steps = strings.Split(strings.Join(w[1:], " "), " | ")
+		return ""
+	case "call":
+		return s.call(w[1], w[2:])
+	case "read":
+		return s.read()
+	case "drop":
+		s.last.Rest.Close()
+		return s.state()
+	case "wait":
+		d, _ := time.ParseDuration(w[1])
+		time.Sleep(d)
+		s.pool.Trim(time.Now())
+		return s.state()
+	default:
+		return "unknown command"
+	}
+}
+
+func (s *script) dial(context.Context, string, string) (net.Conn, error) {
+	if len(s.steps) > 0 && s.steps[0] == "refuse" {
+		return nil, errors.New("connection refused")
+	}
+	near, far := net.Pipe()
+	server := &server{conn: far, reader: bufio.NewReader(far), steps: s.steps}
+	go server.run()
+	return near, nil
+}
+
+// server is the far end of one connection.
+type server struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	steps  []string
+}
+
+func (s *server) run() {
+	defer s.conn.Close()
+	for _, step := range s.steps {
+		word, text, _ := strings.Cut(step, " ")
+		switch word {
+		case "read":
+			req, err := http.ReadRequest(s.reader)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, req.Body)
+		case "head":
+			http.ReadRequest(s.reader)
+		case "write":
+			text = strings.ReplaceAll(strings.ReplaceAll(text, "~", "\r\n"), "OK ", "HTTP/1.1 200 OK\r\n")
+			io.WriteString(s.conn, text)
+		case "sleep":
+			d, _ := time.ParseDuration(text)
+			time.Sleep(d)
+		}
+	}
+}
+
+// call takes the method and options: body=TEXT, rest=TEXT for a part that can
+// be read once, echo=ID, timeout=SPAN, cancel=SPAN, idle=SPAN.
+func (s *script) call(method string, options []string) string {
+	call := Call{Method: method, URI: "/x?y=1", Host: "host", MaxIdle: time.Minute}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	for _, o := range options {
+		key, value, _ := strings.Cut(o, "=")
+		span, _ := time.ParseDuration(value)
+		switch key {
+		case "body":
+			call.Body = work.Body{Held: []byte(value), Size: unit.Bytes(len(value))}
+		case "rest":
+			call.Body = work.Body{Rest: strings.NewReader(value), Size: -1}
+		case "badrest":
+			call.Body = work.Body{Rest: io.MultiReader(strings.NewReader(strings.Repeat("x", 5000)), failing{}), Size: -1}
+		case "echo":
+			call.EchoHeader, call.Echo = "X-Id", value
+		case "timeout":
+			ctx, cancel = context.WithTimeout(ctx, span)
+			s.cancel = cancel
+		case "cancel":
+			time.AfterFunc(span, cancel)
+		case "idle":
+			call.MaxIdle = span
+		}
+	}
+	s.last = s.pool.Do(ctx, call)
+	return s.describe() + "\n" + s.state()
+}
+
+// failing is a body that breaks.
+type failing struct{}
+
+func (failing) Read([]byte) (int, error) { return 0, errors.New("caller went away") }
+
+func (s *script) describe() string {
+	r := &s.last
+	words := []string{string(r.Ending), string(r.Ending.Outcome())}
+	if r.Status != 0 {
+		words = append(words, strconv.Itoa(r.Status))
+	}
+	if r.Ending == outcome.Answered {
+		words = append(words, fmt.Sprintf("%q", r.Held))
+		if r.Rest != nil {
+			words = append(words, "and a stream")
+			return strings.Join(words, " ")
+		}
+		r.Release()
+	}
+	s.cancel()
+	return strings.Join(words, " ")
+}
+
+// read reads the stream to its end.
+func (s *script) read() string {
+	data, err := io.ReadAll(s.last.Rest)
+	s.last.Rest.Close()
+	s.last.Release()
+	s.cancel()
+	return fmt.Sprintf("%q %v\n%s", data, err, s.state())
+}
+
+func (s *script) state() string {
+	return fmt.Sprintf("%+v held %s", s.pool.State(), s.gate.State().Held)
+}
--- a/scripttest/scripttest.go
+++ b/scripttest/scripttest.go
@@ -8,14 +8,16 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/require"
 )
 
-// Run runs each script of testdata with the given ending. New returns what
-// executes one script: it takes the words of a line and returns the result.
+// Run runs each script of testdata with the given ending, in a bubble of
+// testing/synctest. Create returns what executes one script: it takes the
+// words of a line and returns the result.
 func Run(t *testing.T, ending string, create func(t *testing.T) func(words []string) string) {
 	files, err := filepath.Glob(filepath.Join("testdata", "*"+ending))
 	require.NoError(t, err)
@@ -25,7 +27,9 @@
 		t.Run(name, func(t *testing.T) {
 			data, err := os.ReadFile(file)
 			require.NoError(t, err)
-			goldie.New(t).Assert(t, name, []byte(transcript(string(data), create(t))))
+			synctest.Test(t, func(t *testing.T) {
+				goldie.New(t).Assert(t, name, []byte(transcript(string(data), create(t))))
+			})
 		})
 	}
 }
