--- a/router/router.go
+++ b/router/router.go
@@ -240,12 +240,12 @@
 	known := outcome.NotRun
 	for _, member := range steering.Rank(m.Service.Name, r.peers.Members()) {
 		if member.Host == self.Host {
-			return r.runner.Run(ctx, req, m)
+			return joined(known, r.runner.Run(ctx, req, m))
 		}
 		relayCtx, cancel := context.WithDeadline(ctx, req.Deadline.Add(relayGrace))
 		answer, ending := r.peers.Relay(relayCtx, member, req, ToDispatcher)
 		if ending == outcome.Answered {
-			return closing(answer, cancel)
+			return closing(joined(known, answer), cancel)
 		}
 		cancel()
 		known = outcome.Join(known, ending.Outcome())
@@ -259,6 +259,13 @@
 	return r.relayFailed(known, outcome.Lost)
 }
 
+// joined returns an answer whose outcome covers the relays before it: a daemon
+// that was lost may have run the request.
+func joined(earlier outcome.Outcome, a work.Answer) work.Answer {
+	a.Outcome = outcome.Join(earlier, a.Outcome)
+	return a
+}
+
 // mayRelayAgain tells whether another daemon may get the request. The daemon
 // that dispatches retries on targets; here only the loss of a daemon counts.
 func mayRelayAgain(e outcome.Ending, req *work.Request, route *configuration.Route) bool {
