Measure the policy in virtual time, beside baselines

Change: package bench drives the real scheduler against a model of a service's targets, with round robin, two choices, two choices with five failures in a row, and an ideal that sees every slot and fault; command bench prints the table and plots the curve; TestGoals holds the goals as bounds. Suspicion no longer steers work away from a target. The base rate of wrong answers is pooled over all targets but the worst quarter, with a prior. Ranks come from sorted lists.

Ruled out: fewer slots for long work as the cause of slow detection (the load had none).

Conclusion: a suspected target must keep its work until it is judged.

--- a/answers/derive.go
+++ b/answers/derive.go
@@ -64,7 +64,7 @@
 
 // longShares is the share of the slots that long work may take. What a late
 // answer costs decides how many slots are kept for short work.
-var longShares = map[Level]float64{Low: 0.8, Medium: 0.7, High: 0.6}
+var longShares = map[Level]unit.Ratio{Low: 0.8, Medium: 0.7, High: 0.6}
 
 // retryShares is how many retries follow a hundred first attempts.
 var retryShares = map[Level]float64{Low: 0.05, Medium: 0.1, High: 0.2}
@@ -73,7 +73,7 @@
 
 func (s Service) encodeLoad(d *document) {
 	if s.hasLong() {
-		d.derived("LongShare", longShares[s.LateAnswerCost],
+		d.derived("LongShare", s.LongShare(),
 			"LateAnswerCost = %s keeps the other slots for short requests", s.LateAnswerCost)
 	} else {
 		d.derived("LongShare", 1, "no request runs long")
@@ -84,6 +84,10 @@
 	d.derived("Attempts", attempts, "more than two retries add load and rarely an answer")
 }
 
+// LongShare returns the share of the slots that long work may take where there
+// is some.
+func (s Service) LongShare() unit.Ratio { return longShares[s.LateAnswerCost] }
+
 func (s Service) hasLong() bool {
 	for _, r := range s.Requests {
 		if r.RunsLong {
--- /dev/null
+++ b/bench/bench_test.go
@@ -0,0 +1,65 @@
+package bench
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/briarrouter/briarrouter/answers"
+	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+)
+
+// benches returns the bench of one service of each user, with few runs.
+func benches(t testing.TB) []Bench {
+	var list []Bench
+	for _, c := range []struct {
+		file    string
+		service int
+	}{{"../examples/agency.ini", 1}, {"../examples/asociacion.ini", 0}} {
+		data, err := os.ReadFile(c.file)
+		require.NoError(t, err)
+		q, err := answers.Parse(c.file, data)
+		require.NoError(t, err)
+		snapshot, err := configuration.Compose(q.Derive(1))
+		require.NoError(t, err)
+		s := q.Services[c.service]
+		b := New(s, snapshot.Services[s.Name])
+		b.Runs, b.Hours = 20, 1
+		list = append(list, b)
+	}
+	return list
+}
+
+// TestGoals measures the policy with fixed seeds. The bounds are the goals;
+// the golden file holds the figures.
+func TestGoals(t *testing.T) {
+	if testing.Short() {
+		t.Skip("the model takes half a minute")
+	}
+	var out strings.Builder
+	for _, b := range benches(t) {
+		for _, f := range b.Run() {
+			fmt.Fprintf(&out, "%-13s %-38s %-36s %-60s %s\n", f.Service, f.Measure, f.Balancer, f.Value, f.Goal)
+			if f.Goal != "" {
+				require.True(t, f.Met, "%s, %s: %s, goal %s", f.Service, f.Measure, f.Value, f.Goal)
+			}
+		}
+	}
+	goldie.New(t).Assert(t, "goals", []byte(out.String()))
+}
+
+// BenchmarkPolicy prints the figures of each service.
+func BenchmarkPolicy(b *testing.B) {
+	for _, one := range benches(b) {
+		b.Run(one.Name, func(b *testing.B) {
+			for range b.N {
+				for _, f := range one.Run() {
+					b.Log(f.Measure, f.Balancer, f.Value, f.Goal)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/bench/plot.go
@@ -0,0 +1,57 @@
+package bench
+
+import (
+	"fmt"
+	"math"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// curveEvidence is the settings on the curve. Those of the questionnaire lie
+// beyond its end, where false ejections are too rare to be counted.
+var curveEvidence = []float64{3, 4, 5, 6, 8, 10, 13, 17, 21, 24}
+
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+)
+
+// Plot draws the time of detection against false ejections for each service.
+func Plot(file string, benches []Bench) error {
+	p := plot.New()
+	p.Title.Text = "A target that is 5x slow, at half load"
+	p.X.Label.Text = "evidence that ejects (log-likelihood ratio)"
+	p.Y.Label.Text = "seconds to detection (p50); false ejections per 10 target-hours"
+	for i, b := range benches {
+		var times, rates plotter.XYs
+		for _, point := range b.Curve(curveEvidence) {
+			times = append(times, plotter.XY{X: point.Evidence, Y: point.Detection.Seconds()})
+			rates = append(rates, plotter.XY{X: point.Evidence, Y: math.Min(5, 10*point.PerHour)})
+		}
+		if err := addLines(p, i, b.Name, times, rates); err != nil {
+			return fmt.Errorf("plot: %w", err)
+		}
+	}
+	return p.Save(plotWidth, plotHeight, file)
+}
+
+func addLines(p *plot.Plot, i int, name string, times, rates plotter.XYs) error {
+	detection, err := plotter.NewLine(times)
+	if err != nil {
+		return err
+	}
+	ejections, err := plotter.NewLine(rates)
+	if err != nil {
+		return err
+	}
+	detection.Color = plotutil.Color(i)
+	ejections.Color = plotutil.Color(i)
+	ejections.Dashes = plotutil.Dashes(1)
+	p.Add(detection, ejections)
+	p.Legend.Add(name+": detection", detection)
+	p.Legend.Add(name+": false ejections", ejections)
+	return nil
+}
--- /dev/null
+++ b/command/bench.go
@@ -0,0 +1,82 @@
+package command
+
+import (
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"github.com/briarrouter/briarrouter/answers"
+	"github.com/briarrouter/briarrouter/bench"
+	"github.com/briarrouter/briarrouter/configuration"
+)
+
+// benchPolicy is the command that measures the policy in virtual time.
+type benchPolicy struct {
+	streams  streams
+	Answers  string   `long:"answers" value-name:"FILE" required:"yes" description:"the questionnaire's answers (INI)"`
+	Service  string   `long:"service" value-name:"NAME" description:"one service; all where it is missing"`
+	Runs     int      `long:"runs" value-name:"N" default:"100" description:"how often detection is measured"`
+	Hours    float64  `long:"hours" value-name:"N" default:"20" description:"target-hours in which false ejections are counted"`
+	Seed     uint64   `long:"seed" value-name:"N" default:"1" description:"seed of the model"`
+	Measures []string `long:"measure" choice:"detection" choice:"ejections" choice:"peak" choice:"waiting" choice:"flapping" choice:"probes" description:"what to measure; may be given more than once; everything where it is missing"`
+	Plot     string   `long:"plot" value-name:"FILE" description:"also draw detection against false ejections (.svg or .png)"`
+}
+
+// Execute measures each service and prints the figures.
+func (b *benchPolicy) Execute([]string) error {
+	benches, err := b.benches()
+	if err != nil {
+		return err
+	}
+	table := tabwriter.NewWriter(b.streams.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "Service\tMeasure\tBalancing\tFigure\tGoal\t")
+	for _, one := range benches {
+		for _, f := range one.Run(b.Measures...) {
+			fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n", f.Service, f.Measure, f.Balancer, f.Value, f.Goal, verdict(f))
+		}
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	if b.Plot == "" {
+		return nil
+	}
+	return bench.Plot(b.Plot, benches)
+}
+
+func verdict(f bench.Figure) string {
+	switch {
+	case f.Goal == "":
+		return ""
+	case f.Met:
+		return "met"
+	default:
+		return "NOT MET"
+	}
+}
+
+// benches returns the bench of each service that is asked for.
+func (b *benchPolicy) benches() ([]bench.Bench, error) {
+	data, err := os.ReadFile(b.Answers)
+	if err != nil {
+		return nil, err
+	}
+	q, err := answers.Parse(b.Answers, data)
+	if err != nil {
+		return nil, invalid(err)
+	}
+	snapshot, err := configuration.Compose(q.Derive(1))
+	if err != nil {
+		return nil, invalid(err)
+	}
+	var list []bench.Bench
+	for _, s := range q.Services {
+		if b.Service != "" && string(s.Name) != b.Service {
+			continue
+		}
+		one := bench.New(s, snapshot.Services[s.Name])
+		one.Runs, one.Hours, one.Seed = b.Runs, b.Hours, b.Seed
+		list = append(list, one)
+	}
+	return list, nil
+}
--- a/command/command.go
+++ b/command/command.go
@@ -94,6 +94,9 @@
 	mustAdd(parser.AddCommand("load", "Drive a load against a fleet",
 		"Drives an open-loop load with a swing, and tells requests that ran, did not run, are unknown or broken apart.\n\n"+
 			"Example:\n  briarrouter load --answers examples/agency.ini --entry 127.0.0.1:7000 --rate 300 --swing 3\n\n"+exitCodes, &loadFleet{streams: std}))
+	mustAdd(parser.AddCommand("bench", "Measure the policy in virtual time",
+		"Measures detection, false ejections, service at the peak, waiting and flapping in a model of each service's targets, beside baselines.\n\n"+
+			"Example:\n  briarrouter bench --answers examples/agency.ini --service reservations --plot curve.svg", &benchPolicy{streams: std}))
 	standin := mustAdd(parser.AddCommand("standin", "Run a stand-in for an outside system",
 		"Runs a small program that takes the place of an outside system in a trial.", &struct{}{}))
 	mustAdd(standin.AddCommand("platform", "Run a stand-in for the platform",
--- a/health/health.go
+++ b/health/health.go
@@ -4,9 +4,10 @@
 package health
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/briarrouter/briarrouter/id"
@@ -43,9 +44,10 @@
 	slowdown = 5
 	// wrongRate is the share of wrong answers that the error test looks for.
 	wrongRate = 0.2
-	// minBaseRate is the least share of wrong answers expected of a target
-	// that works.
-	minBaseRate = 1e-4
+	// priorWrong and priorSeen are what is believed of the share of wrong
+	// answers before the first sample.
+	priorWrong = 1.0
+	priorSeen  = 100.0
 	// maxBaseRate bounds the base rate below wrongRate, so that the test keeps
 	// its direction when the whole service fails.
 	maxBaseRate = 0.15
@@ -53,9 +55,8 @@
 	ring = 512
 	// minPeers is how many samples of peers a comparison needs.
 	minPeers = 16
-	// baseWeight is the weight of one sample in the moving share of wrong
-	// answers.
-	baseWeight = 0.002
+	// baseDecay is what remains of the weight of old answers with each new one.
+	baseDecay = 0.999
 	// maxDoublings bounds the growth of repeated ejections.
 	maxDoublings = 6
 	// memory is how long an ejection counts as a repeated one.
@@ -83,8 +84,9 @@
 	absent bool
 	// slow and wrong are the sums of the two tests; never negative.
 	slow, wrong float64
-	// baseWrong is the target's own moving share of wrong answers.
-	baseWrong float64
+	// seenAnswers and wrongAnswers count the answers of the target, older ones
+	// with less weight.
+	seenAnswers, wrongAnswers float64
 	// until is when an ejection ends.
 	until time.Time
 	// ejections counts ejections in a row, each within memory of the last.
@@ -99,11 +101,17 @@
 	cfg     Config
 	targets map[id.Target]*target
 	routes  map[id.Route]*history
+	// baseRate is the share of wrong answers of targets that work, as of the
+	// last tick.
+	baseRate float64
 }
 
 // New returns a judge without targets.
 func New(cfg Config) *Judge {
-	return &Judge{cfg: cfg, targets: make(map[id.Target]*target), routes: make(map[id.Route]*history)}
+	return &Judge{
+		cfg: cfg, targets: make(map[id.Target]*target), routes: make(map[id.Route]*history),
+		baseRate: priorWrong / priorSeen,
+	}
 }
 
 // SetConfig changes the policy and keeps what was learned.
@@ -139,16 +147,6 @@
 	return Serving
 }
 
-// Suspicion returns the larger test sum of a target, as a share of what
-// ejects it.
-func (j *Judge) Suspicion(name id.Target) float64 {
-	t := j.targets[name]
-	if t == nil {
-		return 0
-	}
-	return max(t.slow, t.wrong) / j.cfg.Evidence
-}
-
 // Observe takes a sample and reports whether the target was ejected for it.
 func (j *Judge) Observe(now time.Time, s Sample) bool {
 	t := j.targets[s.Target]
@@ -173,8 +171,9 @@
 
 // observeAnswer feeds the error test.
 func (j *Judge) observeAnswer(t *target, s Sample) {
-	t.wrong = max(0, t.wrong+wrongRatio(s.Wrong, j.baseRate(s.Target)))
-	t.baseWrong += baseWeight * (indicator(s.Wrong) - t.baseWrong)
+	t.wrong = max(0, t.wrong+wrongRatio(s.Wrong, j.baseRate))
+	t.seenAnswers = baseDecay*t.seenAnswers + 1
+	t.wrongAnswers = baseDecay*t.wrongAnswers + indicator(s.Wrong)
 }
 
 // observeCensored feeds the latency test with a time that is only a lower
@@ -226,19 +225,22 @@
 	return math.Log((1 - wrongRate) / (1 - base))
 }
 
-// baseRate returns the median share of wrong answers among the other targets.
-func (j *Judge) baseRate(except id.Target) float64 {
-	var rates []float64
-	for name, t := range j.targets {
-		if name != except {
-			rates = append(rates, t.baseWrong)
-		}
+// updateBaseRate learns the share of wrong answers from all targets but the
+// worst quarter, which may be sick.
+func (j *Judge) updateBaseRate() {
+	var list []*target
+	for _, name := range slices.Sorted(maps.Keys(j.targets)) {
+		list = append(list, j.targets[name])
 	}
-	if len(rates) == 0 {
-		return maxBaseRate
+	slices.SortStableFunc(list, func(a, b *target) int {
+		return cmp.Compare(a.wrongAnswers*b.seenAnswers, b.wrongAnswers*a.seenAnswers)
+	})
+	wrong, seen := priorWrong, priorSeen
+	for _, t := range list[:len(list)-(len(list)+3)/4] {
+		wrong += t.wrongAnswers
+		seen += t.seenAnswers
 	}
-	sort.Float64s(rates)
-	return min(maxBaseRate, max(minBaseRate, rates[len(rates)/2]))
+	j.baseRate = min(maxBaseRate, wrong/seen)
 }
 
 func indicator(b bool) float64 {
@@ -267,9 +269,9 @@
 		}
 	}
 	var ejected []id.Target
-	for name, more := range extra {
+	for _, name := range slices.Sorted(maps.Keys(extra)) {
 		t := j.targets[name]
-		if t != nil && t.state == Serving && t.slow+more >= j.cfg.Evidence && j.eject(now, t) {
+		if t != nil && t.state == Serving && t.slow+extra[name] >= j.cfg.Evidence && j.eject(now, t) {
 			ejected = append(ejected, name)
 		}
 	}
@@ -332,6 +334,7 @@
 		}
 	}
 	j.restoreFloor()
+	j.updateBaseRate()
 }
 
 // restoreFloor puts targets back when others left the service and the floor
@@ -339,7 +342,8 @@
 func (j *Judge) restoreFloor() {
 	for j.inService() < int(j.cfg.Floor) {
 		var next *target
-		for _, t := range j.targets {
+		for _, name := range slices.Sorted(maps.Keys(j.targets)) {
+			t := j.targets[name]
 			if t.state != Serving && !t.absent && (next == nil || t.until.Before(next.until)) {
 				next = t
 			}
@@ -372,7 +376,7 @@
 func (j *Judge) history(r id.Route) *history {
 	h := j.routes[r]
 	if h == nil {
-		h = &history{}
+		h = newHistory()
 		j.routes[r] = h
 	}
 	return h
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -369,18 +369,13 @@
 	}
 }
 
-const (
-	// triedCost makes a target that an earlier attempt used the last choice.
-	triedCost = 10
-	// suspicionCost weighs the evidence against a target, in shares of its
-	// slots.
-	suspicionCost = 1
-)
+// triedCost makes a target that an earlier attempt used the last choice.
+const triedCost = 10
 
-// cost orders the eligible targets; the lowest is chosen.
+// cost orders the eligible targets; the lowest is chosen. Suspicion does not
+// count: a suspected target that got less work would take longer to judge.
 func (s *Scheduler) cost(now time.Time, t *target, job Job) float64 {
 	cost := float64(t.running) / float64(s.targetCapacity(now, t))
-	cost += suspicionCost * float64(int(4*s.judge.Suspicion(t.endpoint.ID))) / 4
 	if slices.Contains(job.Tried, t.endpoint.ID) {
 		cost += triedCost
 	}
@@ -506,7 +501,8 @@
 
 func (s *Scheduler) running(now time.Time) []health.Running {
 	list := make([]health.Running, 0, len(s.granted))
-	for _, g := range s.granted {
+	for _, ticket := range slices.Sorted(maps.Keys(s.granted)) {
+		g := s.granted[ticket]
 		list = append(list, health.Running{Target: g.target.endpoint.ID, Route: g.job.Route.Name, Age: now.Sub(g.since)})
 	}
 	return list
@@ -534,6 +530,9 @@
 	Health health.TargetState
 }
 
+// Health returns where a target stands.
+func (s *Scheduler) Health(name id.Target) health.State { return s.judge.State(name) }
+
 // Counts returns what was decided so far.
 func (s *Scheduler) Counts() Counts { return s.counts }
 
