--- a/peer/link.go
+++ b/peer/link.go
@@ -127,7 +127,7 @@
 	limit := l.service.cfg.Timing.Probe / probeParts
 	started := time.Now()
 	if l.ping(ctx, limit) {
-		l.doubted.Store(false)
+		l.setDoubted(false)
 		return
 	}
 	l.doubt()
@@ -139,9 +139,15 @@
 	}
 }
 
+func (l *link) setDoubted(doubted bool) {
+	if l.doubted.Swap(doubted) != doubted {
+		l.service.doubts.Add(1)
+	}
+}
+
 // doubt sends the relays to the peer elsewhere that may be sent elsewhere.
 func (l *link) doubt() {
-	l.doubted.Store(true)
+	l.setDoubted(true)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for r := range l.outstanding {
@@ -220,3 +226,15 @@
 	}
 	s.store.Offer(docs, "peer "+string(l.host))
 }
+
+// TargetsOfPeers asks peers for the last list of a service's targets that the
+// platform gave them, until one has it.
+func (s *Service) TargetsOfPeers(ctx context.Context, service id.Service) ([]byte, bool) {
+	for _, l := range s.helpers(s.cfg.Self.Host) {
+		d, err := l.client.Targets(ctx, &peerpb.ValueRequest{Service: string(service)})
+		if err == nil {
+			return d.GetData(), true
+		}
+	}
+	return nil, false
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/briarrouter/briarrouter/configuration"
@@ -79,6 +80,8 @@
 	cancel context.CancelFunc
 	ctx    context.Context
 	group  conc.WaitGroup
+	// doubts counts the changes of the links' doubts.
+	doubts atomic.Uint64
 
 	mu    sync.Mutex
 	table *roster.Table
@@ -165,6 +168,14 @@
 	return s.table.Self()
 }
 
+// Generation returns a number that grows with each change of what Members
+// returns.
+func (s *Service) Generation() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Generation() + s.doubts.Load()
+}
+
 // Members returns every daemon that is known, with this one. One that did not
 // answer this daemon's last probe counts as suspected here, before the others
 // were asked about it.
--- a/peer/server.go
+++ b/peer/server.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/kernel"
 	"github.com/briarrouter/briarrouter/peer/peerpb"
 	"github.com/twitchtv/twirp"
 )
@@ -79,3 +80,21 @@
 	}
 	return &peerpb.Document{Data: data}, nil
 }
+
+// targetLists holds the last lists that the platform gave.
+type targetLists interface {
+	Targets(s id.Service) []byte
+}
+
+// Targets returns the last list of a service's targets.
+func (s server) Targets(_ context.Context, r *peerpb.ValueRequest) (*peerpb.Document, error) {
+	lists, err := kernel.Find[targetLists](s.kernel, "platform")
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	data := lists.Targets(id.Service(r.GetService()))
+	if data == nil {
+		return nil, twirp.NotFoundError("the platform gave no such list")
+	}
+	return &peerpb.Document{Data: data}, nil
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -106,12 +106,12 @@
 	cfg Config
 	// self is the daemon's own statement.
 	self Member
-	// selfSends is how many more messages must carry self as news.
-	selfSends int
 	// members holds every other daemon that is known.
 	members map[id.Host]*entry
 	// round lists the hosts still to be probed in this round.
 	round []id.Host
+	// generation counts the changes of what Members returns.
+	generation uint64
 }
 
 // New returns a view that knows only the daemon itself.
@@ -119,6 +119,10 @@
 	return &Table{cfg: cfg, self: cfg.Self, members: make(map[id.Host]*entry)}
 }
 
+// Generation returns a number that grows with each change of what Members
+// returns.
+func (t *Table) Generation() uint64 { return t.generation }
+
 // Self returns the daemon's own statement.
 func (t *Table) Self() Member { return t.self }
 
@@ -129,7 +133,7 @@
 	}
 	t.self.State = s
 	t.self.Sequence++
-	t.selfSends = t.sends()
+	t.generation++
 }
 
 // sends returns how often a piece of news is sent.
@@ -149,6 +153,7 @@
 // SetListed takes the platform's list. The list lags, so it only adds names
 // and marks of leaving: it takes nobody out who was heard.
 func (t *Table) SetListed(now time.Time, list []Listed) {
+	t.generation++
 	for _, e := range t.members {
 		e.listed = false
 	}
@@ -202,6 +207,7 @@
 	}
 	e.Member = m
 	e.sendsLeft = t.sends()
+	t.generation++
 }
 
 // refute answers a statement that puts this daemon worse than it is.
@@ -213,7 +219,7 @@
 		return
 	}
 	t.self.Sequence = m.Sequence + 1
-	t.selfSends = t.sends()
+	t.generation++
 }
 
 // Heard takes a statement that a member made about itself to this daemon.
@@ -226,6 +232,7 @@
 		// The suspicion may be known to others already. The member learns of
 		// it from the next message and refutes it; here it just answered.
 		e.Member, e.since = m, now
+		t.generation++
 		return
 	}
 	t.merge(now, m)
@@ -239,6 +246,7 @@
 		return
 	}
 	e.State, e.since, e.sendsLeft = Suspect, now, t.sends()
+	t.generation++
 }
 
 // Tick turns old suspicions into deaths and forgets old deaths.
@@ -247,8 +255,10 @@
 		switch {
 		case e.State == Suspect && now.Sub(e.since) >= t.cfg.Suspect:
 			e.State, e.since, e.sendsLeft = Dead, now, t.sends()
+			t.generation++
 		case e.State == Dead && !e.listed && now.Sub(e.since) >= tombstone:
 			delete(t.members, host)
+			t.generation++
 		}
 	}
 }
--- /dev/null
+++ b/router/prepare.go
@@ -0,0 +1,77 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/roster"
+	"github.com/briarrouter/briarrouter/steering"
+)
+
+// ranks keeps the order of the daemons for each service until the roster
+// changes.
+type ranks struct {
+	mu         sync.Mutex
+	generation uint64
+	members    []roster.Member
+	orders     map[id.Service][]roster.Member
+}
+
+// of returns the order for a service. It must not be changed.
+func (r *ranks) of(s id.Service, p peers) []roster.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if g := p.Generation(); r.orders == nil || g != r.generation {
+		r.generation, r.members = g, p.Members()
+		r.orders = make(map[id.Service][]roster.Member)
+	}
+	order, ok := r.orders[s]
+	if !ok {
+		order = steering.Rank(s, r.members)
+		r.orders[s] = order
+	}
+	return order
+}
+
+const (
+	// prepareEvery is the time between two looks at what to prepare.
+	prepareEvery = 500 * time.Millisecond
+	// prepared is how many daemons of a service know its targets beforehand.
+	prepared = 3
+)
+
+// loop takes up the services that this daemon dispatches or stands by for, so
+// that it knows their targets before it needs them.
+func (r *Router) loop(ctx context.Context) {
+	ticker := time.NewTicker(prepareEvery)
+	defer ticker.Stop()
+	var generation uint64
+	var snapshot *configuration.Snapshot
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		g, current := r.peers.Generation(), r.policies.Current()
+		if current != nil && (g != generation || current != snapshot) {
+			r.prepare(current)
+			generation, snapshot = g, current
+		}
+	}
+}
+
+func (r *Router) prepare(snapshot *configuration.Snapshot) {
+	self := r.peers.Self()
+	for name, policy := range snapshot.Services {
+		order := r.ranks.of(name, r.peers)
+		for _, m := range order[:min(prepared, len(order))] {
+			if m.Host == self.Host {
+				r.runner.Prepare(policy)
+			}
+		}
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -17,6 +17,7 @@
 	"github.com/briarrouter/briarrouter/roster"
 	"github.com/briarrouter/briarrouter/steering"
 	"github.com/briarrouter/briarrouter/work"
+	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -56,6 +57,8 @@
 type peers interface {
 	Self() roster.Member
 	Members() []roster.Member
+	// Generation returns a number that grows with each change of Members.
+	Generation() uint64
 	Find(i id.Incarnation) (roster.Member, bool)
 	// Relay sends a request to a peer. The ending tells how far it came; the
 	// answer is the peer's where the ending is Answered.
@@ -74,6 +77,9 @@
 	policies policies
 	runner   runner
 	peers    peers
+	ranks    ranks
+	cancel   context.CancelFunc
+	group    conc.WaitGroup
 
 	mu     sync.Mutex
 	ledger *ledger.Table
@@ -93,12 +99,21 @@
 	if r.runner, err = kernel.Find[runner](k, "dispatch"); err != nil {
 		return err
 	}
-	r.peers, err = kernel.Find[peers](k, "peer")
-	return err
+	if r.peers, err = kernel.Find[peers](k, "peer"); err != nil {
+		return err
+	}
+	var ctx context.Context
+	ctx, r.cancel = context.WithCancel(context.Background())
+	r.group.Go(func() { r.loop(ctx) })
+	return nil
 }
 
-// Stop does nothing: the router has no work of its own.
-func (r *Router) Stop(context.Context) error { return nil }
+// Stop ends the preparation of services.
+func (r *Router) Stop(context.Context) error {
+	r.cancel()
+	r.group.Wait()
+	return nil
+}
 
 // State returns the sizes of the table of keys.
 func (r *Router) State() any {
@@ -238,7 +253,7 @@
 		return r.runner.Run(ctx, req, m)
 	}
 	known := outcome.NotRun
-	for _, member := range steering.Rank(m.Service.Name, r.peers.Members()) {
+	for _, member := range r.ranks.of(m.Service.Name, r.peers) {
 		if member.Host == self.Host {
 			return joined(known, r.runner.Run(ctx, req, m))
 		}
@@ -300,5 +315,5 @@
 // Addresses returns the daemons that a caller of the service should use, at
 // most n.
 func (r *Router) Addresses(s id.Service, n int) []roster.Member {
-	return steering.Answers(s, r.peers.Members(), r.peers.Self(), n, rand.IntN(n))
+	return steering.Answers(r.ranks.of(s, r.peers), r.peers.Self(), n, rand.IntN(n))
 }
--- a/router/world_test.go
+++ b/router/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/briarrouter/briarrouter/configuration"
@@ -33,6 +34,7 @@
 	// denied holds the arrivals that were told that they did not run.
 	denied map[id.Request]bool
 	faults []string
+	looks  atomic.Uint64
 }
 
 // host is one incarnation of a daemon.
@@ -134,6 +136,9 @@
 // Self returns the host's own statement.
 func (h *host) Self() roster.Member { return h.member }
 
+// Generation makes the router look at the members each time.
+func (h *host) Generation() uint64 { return h.world.looks.Add(1) }
+
 // Members returns what the host believes: it may be wrong about anybody.
 func (h *host) Members() []roster.Member {
 	h.world.mu.Lock()
--- a/standin/target.go
+++ b/standin/target.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -30,6 +31,11 @@
 	SizeField = "X-Answer-Bytes"
 )
 
+// CrashWork is the piece of work that ends the process that runs it.
+const CrashWork = "crash"
+
+const crashCode = 70
+
 // TargetConfig makes a Target.
 type TargetConfig struct {
 	Slots int
@@ -171,6 +177,9 @@
 		return
 	}
 	t.record(r.Header.Get(WorkField))
+	if r.Header.Get(WorkField) == CrashWork {
+		os.Exit(crashCode)
+	}
 	if d.hang {
 		<-r.Context().Done()
 		return
--- a/steering/steering.go
+++ b/steering/steering.go
@@ -57,12 +57,11 @@
 	return append(first, rest...)
 }
 
-// Answers returns the members whose addresses a caller of the service gets, at
-// most n. A member that stands for the service names itself first, so that its
+// Answers returns the members whose addresses a caller gets, at most n of the
+// ranked ones. A member that stands for the service names itself first, so that its
 // callers stay with it; any other one starts at the turn, so that callers
 // spread. While no other member is known to serve, it names this daemon.
-func Answers(s id.Service, members []roster.Member, self roster.Member, n, turn int) []roster.Member {
-	ranked := Rank(s, members)
+func Answers(ranked []roster.Member, self roster.Member, n, turn int) []roster.Member {
 	if len(ranked) == 0 {
 		return []roster.Member{self}
 	}
--- a/steering/steering_test.go
+++ b/steering/steering_test.go
@@ -63,10 +63,10 @@
 	var b strings.Builder
 	members := fleet(8)
 	for _, self := range members {
-		fmt.Fprintln(&b, self.Host, "answers:", hosts(Answers("reservations", members, self, 4, 1)))
+		fmt.Fprintln(&b, self.Host, "answers:", hosts(Answers(Rank("reservations", members), self, 4, 1)))
 	}
 	lonely := roster.Member{Host: "host-09", State: roster.Joining}
-	fmt.Fprintln(&b, "nobody is known:", hosts(Answers("reservations", nil, lonely, 4, 1)))
+	fmt.Fprintln(&b, "nobody is known:", hosts(Answers(nil, lonely, 4, 1)))
 	goldie.New(t).Assert(t, "answers", []byte(b.String()))
 }
 
