Judge a target beyond its peers' median; spread news of the roster at once

When the whole service turned slow, the evidence against every target grew until the history of 512 samples had followed, and one reached the bound first.

Ruled out: a shorter history (it costs resolution and so detection). For the bytes: the roster's news itself; most were keep-alive probes on idle connections, whole digests in each message, and pings of everybody at a start.

Change: the evidence must exceed the bound beyond the median of the other targets too. News goes to two peers at once and dies out by itself; a suspicion stands until it is refuted by a higher sequence. Probe connections have no keep-alive and end after 10 s. The roster keeps its view until it changes.

--- /dev/null
+++ b/command/scale_test.go
@@ -0,0 +1,172 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/kernel"
+	"github.com/briarrouter/briarrouter/peer"
+	"github.com/briarrouter/briarrouter/platform"
+	"github.com/briarrouter/briarrouter/roster"
+	"github.com/briarrouter/briarrouter/settings"
+	"github.com/briarrouter/briarrouter/standin"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+)
+
+// scaleFleet is many daemons without load, in this process.
+type scaleFleet struct {
+	b        *testing.B
+	platform *standin.Platform
+	kernels  []*kernel.Kernel
+	// dead is a daemon that was made to fall silent.
+	dead *kernel.Kernel
+}
+
+var scaleDomains = []string{"Milano", "Torino", "Verona", "Bologna", "Yura", "Cayma", "Socabaya"}
+
+func startScale(b *testing.B, n int) *scaleFleet {
+	f := &scaleFleet{b: b, platform: standin.NewPlatform(standin.PlatformConfig{Rate: 1 << 20})}
+	server := httptest.NewServer(f.platform.Handler())
+	b.Cleanup(server.Close)
+	f.accept(1)
+	f.platform.Put(platform.TargetsKey("beds"), []byte("[Target t1]\nAddress = 127.0.0.1:9\nFailureDomain = Milano\nState = live\n"))
+	var list strings.Builder
+	var all []settings.Daemon
+	for i := range n {
+		text := fmt.Sprintf("[Host]\nName = host-%03d\nFailureDomain = %s\n[Listen]\nCallers = %s\nPeers = %s\nOperator = %s\n[Platform]\nAddresses = %s\n[Timing]\nHold = 1s\n",
+			i, scaleDomains[i%len(scaleDomains)], scaleAddress(i, 1), scaleAddress(i, 2), scaleAddress(i, 3), server.Listener.Addr())
+		daemon, err := settings.Parse("scale", []byte(text))
+		require.NoError(b, err)
+		all = append(all, daemon)
+		fmt.Fprintf(&list, "[Daemon %s]\nCallers = %s\nPeers = %s\nFailureDomain = %s\nState = live\n", daemon.Host, daemon.Callers, daemon.Peers, daemon.FailureDomain)
+	}
+	f.platform.Put(platform.DaemonsKey, []byte(list.String()))
+	for _, daemon := range all {
+		k := newKernel(daemon, zerolog.Nop(), time.Now())
+		require.NoError(b, k.Start(context.Background()))
+		f.kernels = append(f.kernels, k)
+	}
+	f.until(func(k *kernel.Kernel) bool { return f.service(k).Ready() })
+	return f
+}
+
+// scaleAddress gives each daemon a loopback address of its own.
+func scaleAddress(i, port int) string {
+	return fmt.Sprintf("127.9.%d.%d:%d", i/200, 1+i%200, 7800+port)
+}
+
+// accept publishes a configuration.
+func (f *scaleFleet) accept(number uint64) {
+	values := map[id.Service][]byte{"beds": []byte(strings.Replace(speedService, "Queue = 1000", fmt.Sprintf("Queue = %d", number), 1))}
+	f.platform.Put(platform.ServiceKey("beds"), values["beds"])
+	f.platform.Put(platform.IndexKey, configuration.EncodeIndex(number, values))
+}
+
+func (f *scaleFleet) service(k *kernel.Kernel) *peer.Service {
+	s, err := kernel.Find[*peer.Service](k, peer.ServiceName)
+	require.NoError(f.b, err)
+	return s
+}
+
+// until waits for a condition on every daemon and returns how long it took.
+func (f *scaleFleet) until(condition func(*kernel.Kernel) bool) time.Duration {
+	started := time.Now()
+	for _, k := range f.kernels {
+		require.Eventually(f.b, func() bool { return condition(k) }, time.Minute, 5*time.Millisecond)
+	}
+	return time.Since(started)
+}
+
+func (f *scaleFleet) stop() {
+	all := f.kernels
+	if f.dead != nil {
+		all = append(all, f.dead)
+	}
+	for _, k := range all {
+		stopped, cancel := context.WithCancel(context.Background())
+		cancel()
+		k.Stop(stopped)
+	}
+}
+
+// loopbackBytes returns the bytes that the loopback device received.
+func loopbackBytes(b *testing.B) float64 {
+	data, err := os.ReadFile("/proc/self/net/dev")
+	require.NoError(b, err)
+	for line := range strings.Lines(string(data)) {
+		if name, rest, ok := strings.Cut(strings.TrimSpace(line), ":"); ok && name == "lo" {
+			n, err := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			require.NoError(b, err)
+			return n
+		}
+	}
+	b.Fatal("no loopback device")
+	return 0
+}
+
+const (
+	// scaleSettle is the time, for each daemon, until the news of the start has
+	// been passed on.
+	scaleSettle = 750 * time.Millisecond
+	scaleWindow = 10 * time.Second
+)
+
+// BenchmarkScale starts daemons without load and reports what each spends on
+// control, how fast a change of configuration is in force everywhere, and how
+// fast a daemon that died has left the view of every other one.
+func BenchmarkScale(b *testing.B) {
+	for _, n := range []int{10, 20, 40, 80, 160} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for range b.N {
+				measureScale(b, n)
+			}
+		})
+	}
+}
+
+func measureScale(b *testing.B, n int) {
+	f := startScale(b, n)
+	defer f.stop()
+	time.Sleep(time.Duration(n) * scaleSettle)
+	bytes, processor := loopbackBytes(b), processorTime()
+	time.Sleep(scaleWindow)
+	seconds := scaleWindow.Seconds()
+	b.ReportMetric((loopbackBytes(b)-bytes)/seconds/float64(n), "bytes/s/daemon")
+	b.ReportMetric(100*(processorTime()-processor).Seconds()/seconds/float64(n), "%core/daemon")
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	b.ReportMetric(float64(memory.HeapInuse+memory.StackInuse)/float64(n)/(1<<20), "MiB/daemon")
+	f.accept(2)
+	b.ReportMetric(f.until(func(k *kernel.Kernel) bool { return f.version(k) == 2 }).Seconds(), "s-to-configure")
+	f.dead = f.kernels[0]
+	host := f.service(f.dead).Self().Host
+	require.NoError(b, f.service(f.dead).Stop(context.Background()))
+	f.kernels = f.kernels[1:]
+	b.ReportMetric(f.until(func(k *kernel.Kernel) bool { return !f.believesAlive(k, host) }).Seconds(), "s-to-drop-dead")
+}
+
+func (f *scaleFleet) version(k *kernel.Kernel) uint64 {
+	s, err := kernel.Find[*configuration.Store](k, configuration.ServiceName)
+	require.NoError(f.b, err)
+	return s.Version().Number
+}
+
+func (f *scaleFleet) believesAlive(k *kernel.Kernel, host id.Host) bool {
+	for _, m := range f.service(k).Members() {
+		if m.Host == host {
+			return m.State == roster.Alive
+		}
+	}
+	return false
+}
--- a/configuration/snapshot.go
+++ b/configuration/snapshot.go
@@ -43,11 +43,15 @@
 	Digests map[id.Service]string
 }
 
+// versionDigits is how much of the index's digest a version carries: enough to
+// order rivals, and few bytes in each message.
+const versionDigits = 16
+
 // ParseIndex reads the index.
 func ParseIndex(data []byte) (Index, error) {
 	f := inifile.Parse("index", data)
 	i := Index{
-		Version: id.ConfigVersion{Number: f.Section("Configuration").Uint64("Version"), Digest: Digest(data)},
+		Version: id.ConfigVersion{Number: f.Section("Configuration").Uint64("Version"), Digest: Digest(data)[:versionDigits]},
 		Digests: make(map[id.Service]string),
 	}
 	for _, s := range f.Sections("Service") {
--- a/health/health.go
+++ b/health/health.go
@@ -268,10 +268,11 @@
 			extra[r.Target] += survivalRatio(rank)
 		}
 	}
+	slow := func(name id.Target, t *target) float64 { return t.slow + extra[name] }
 	var ejected []id.Target
 	for _, name := range slices.Sorted(maps.Keys(extra)) {
 		t := j.targets[name]
-		if t != nil && t.state == Serving && t.slow+extra[name] >= j.cfg.Evidence && j.eject(now, t) {
+		if t != nil && t.state == Serving && j.exceeds(t, slow(name, t), slow) && j.eject(now, t) {
 			ejected = append(ejected, name)
 		}
 	}
@@ -279,12 +280,35 @@
 }
 
 func (j *Judge) ejectIfDue(now time.Time, t *target) bool {
-	if max(t.slow, t.wrong) < j.cfg.Evidence {
+	slow := j.exceeds(t, t.slow, func(_ id.Target, t *target) float64 { return t.slow })
+	wrong := j.exceeds(t, t.wrong, func(_ id.Target, t *target) float64 { return t.wrong })
+	if !slow && !wrong {
 		return false
 	}
 	return j.eject(now, t)
 }
 
+// exceeds tells whether the evidence against a target exceeds the bound by
+// itself, and beyond what there is against the median of the others. When the
+// whole service becomes slow, the evidence against all of them grows until the
+// history has followed.
+func (j *Judge) exceeds(t *target, own float64, of func(id.Target, *target) float64) bool {
+	if own < j.cfg.Evidence {
+		return false
+	}
+	var others []float64
+	for name, o := range j.targets {
+		if o != t && o.state == Serving {
+			others = append(others, of(name, o))
+		}
+	}
+	if len(others) == 0 {
+		return true
+	}
+	slices.Sort(others)
+	return own-others[len(others)/2] >= j.cfg.Evidence
+}
+
 // eject takes a target out of service unless the floor forbids it.
 func (j *Judge) eject(now time.Time, t *target) bool {
 	if j.inService() <= int(j.cfg.Floor) {
--- a/id/id.go
+++ b/id/id.go
@@ -86,7 +86,8 @@
 type ConfigVersion struct {
 	// Number is the version that the operator accepted; zero means none.
 	Number uint64
-	// Digest is the SHA-256 of the configuration's index, in hexadecimal.
+	// Digest is the start of the SHA-256 of the configuration's index, in
+	// hexadecimal.
 	Digest string
 }
 
--- a/peer/link.go
+++ b/peer/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -47,13 +48,17 @@
 	relayDialTimeout = 500 * time.Millisecond
 	relayIdleLimit   = 30 * time.Second
 	relayHead        = 128 << 10
+	// idleProbes is how long a connection for probes is kept. In a large fleet
+	// a peer comes too seldom for it to be used again.
+	idleProbes = 10 * time.Second
 	// fetchTimeout bounds the reading of a configuration from a peer.
 	fetchTimeout = 5 * time.Second
 )
 
 func newLink(s *Service, m roster.Member) *link {
 	ctx, cancel := context.WithCancel(s.ctx)
-	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, DisableCompression: true}
+	dialer := &net.Dialer{KeepAlive: -1}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleProbes, DisableCompression: true}
 	client := &http.Client{Transport: transport, Timeout: fetchTimeout}
 	return &link{
 		service: s,
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -89,6 +90,10 @@
 	links map[id.Host]*link
 	// answered lists the peers that answered since the start.
 	answered map[id.Host]bool
+	// connected is the roster's generation when the links were made.
+	connected uint64
+	// spreadAt is when news was last spread at once.
+	spreadAt time.Time
 	started  time.Time
 	leaving  bool
 }
@@ -105,6 +110,9 @@
 	}
 }
 
+// quiet listens without keep-alive probes: the peers probe each other.
+var quiet = net.ListenConfig{KeepAlive: -1}
+
 // headerTimeout bounds the reading of a peer's request head.
 const headerTimeout = 5 * time.Second
 
@@ -118,7 +126,7 @@
 	if s.sightings, err = kernel.Find[sightings](k, "dispatch"); err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", string(s.cfg.Self.Peers))
+	listener, err := quiet.Listen(context.Background(), "tcp", string(s.cfg.Self.Peers))
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
@@ -182,7 +190,7 @@
 func (s *Service) Members() []roster.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	members := s.table.Members()
+	members := slices.Clone(s.table.Members())
 	for i := range members {
 		m := &members[i]
 		if l := s.links[m.Host]; l != nil && m.State == roster.Alive && l.doubted.Load() {
@@ -209,9 +217,7 @@
 	defer s.mu.Unlock()
 	s.leaving = true
 	s.table.SetState(roster.Leaving)
-	for _, l := range s.links {
-		l.wake()
-	}
+	s.tell(leaveTo)
 }
 
 // State is this daemon's view of the roster.
@@ -230,6 +236,10 @@
 // connect makes a link for each member that has none, and ends the links of
 // those that are gone. The lock is held.
 func (s *Service) connect() {
+	if g := s.table.Generation(); g == s.connected {
+		return
+	}
+	s.connected = s.table.Generation()
 	wanted := make(map[id.Host]bool)
 	for _, m := range s.table.Members() {
 		if m.Host == s.cfg.Self.Host || m.Peers == "" {
@@ -356,9 +366,7 @@
 	}
 	s.table.SetState(roster.Alive)
 	s.cfg.Log.Info().Int("Peers", len(s.answered)).Stringer("Version", s.store.Version()).Msg("ready")
-	for _, l := range s.links {
-		l.wake()
-	}
+	s.tell(spreadTo)
 }
 
 const (
@@ -387,11 +395,15 @@
 	from := decodeMember(n.GetFrom())
 	s.mu.Lock()
 	now := time.Now()
+	before := s.table.Generation()
 	if from.Host != s.cfg.Self.Host {
 		s.table.Heard(now, from)
 		s.answered[from.Host] = true
 	}
 	s.table.Merge(now, decodeMembers(n.GetMembers()))
+	if s.table.Generation() != before {
+		s.spread()
+	}
 	s.connect()
 	l := s.links[from.Host]
 	s.mu.Unlock()
@@ -402,10 +414,40 @@
 	}
 }
 
+// spreadTo is how many peers get news of the roster at once. The others get it
+// with the probes that come anyway.
+const spreadTo = 2
+
+// leaveTo is how many peers a daemon that leaves tells itself.
+const leaveTo = 8
+
+// spreadEvery is the least time between two times that news is spread at once.
+const spreadEvery = 100 * time.Millisecond
+
+// spread gives a few links a turn. The lock is held.
+func (s *Service) spread() {
+	now := time.Now()
+	if now.Sub(s.spreadAt) < spreadEvery {
+		return
+	}
+	s.spreadAt = now
+	s.tell(spreadTo)
+}
+
+// tell gives the links to n peers a turn. The lock is held.
+func (s *Service) tell(n int) {
+	for _, m := range s.table.Helpers(n, s.cfg.Self.Host) {
+		if l := s.links[m.Host]; l != nil {
+			l.wake()
+		}
+	}
+}
+
 func (s *Service) missed(host id.Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.Missed(time.Now(), host)
+	s.spread()
 	s.cfg.Log.Debug().Str("Peer", string(host)).Msg("peer did not answer")
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -87,7 +87,7 @@
 	tombstone = time.Minute
 	// sendFactor times the logarithm of the roster's size is how often a piece
 	// of news is sent.
-	sendFactor = 4
+	sendFactor = 2
 	// deadProbeShare is the share of probes that go to dead members, so that
 	// both sides of a healed partition find each other again.
 	deadProbeShare = 0.1
@@ -110,13 +110,17 @@
 	members map[id.Host]*entry
 	// round lists the hosts still to be probed in this round.
 	round []id.Host
-	// generation counts the changes of what Members returns.
-	generation uint64
+	// fresh names the members with sends left.
+	fresh map[id.Host]bool
+	// generation counts the changes of what Members returns; view is what it
+	// returned at viewed.
+	generation, viewed uint64
+	view               []Member
 }
 
 // New returns a view that knows only the daemon itself.
 func New(cfg Config) *Table {
-	return &Table{cfg: cfg, self: cfg.Self, members: make(map[id.Host]*entry)}
+	return &Table{cfg: cfg, self: cfg.Self, members: make(map[id.Host]*entry), fresh: make(map[id.Host]bool)}
 }
 
 // Generation returns a number that grows with each change of what Members
@@ -206,7 +210,13 @@
 		e.since = now
 	}
 	e.Member = m
+	t.makeNews(e)
+}
+
+// makeNews lets the next messages carry what is known of a member.
+func (t *Table) makeNews(e *entry) {
 	e.sendsLeft = t.sends()
+	t.fresh[e.Host] = true
 	t.generation++
 }
 
@@ -222,20 +232,14 @@
 	t.generation++
 }
 
-// Heard takes a statement that a member made about itself to this daemon.
+// Heard takes a statement that a member made about itself to this daemon. A
+// suspicion about the same sequence stands until the member, which learns of
+// it from the next message, refutes it: taking it back here would set it
+// against the same suspicion of others, back and forth.
 func (t *Table) Heard(now time.Time, m Member) {
-	if m.Host == t.self.Host {
-		return
-	}
-	e := t.members[m.Host]
-	if e != nil && e.Incarnation == m.Incarnation && e.Sequence == m.Sequence && e.State == Suspect {
-		// The suspicion may be known to others already. The member learns of
-		// it from the next message and refutes it; here it just answered.
-		e.Member, e.since = m, now
-		t.generation++
-		return
+	if m.Host != t.self.Host {
+		t.merge(now, m)
 	}
-	t.merge(now, m)
 }
 
 // Missed records that a member did not answer this daemon, nor others that
@@ -245,8 +249,8 @@
 	if e == nil || e.State == Suspect || e.State == Dead || e.State == Unseen {
 		return
 	}
-	e.State, e.since, e.sendsLeft = Suspect, now, t.sends()
-	t.generation++
+	e.State, e.since = Suspect, now
+	t.makeNews(e)
 }
 
 // Tick turns old suspicions into deaths and forgets old deaths.
@@ -254,8 +258,8 @@
 	for host, e := range t.members {
 		switch {
 		case e.State == Suspect && now.Sub(e.since) >= t.cfg.Suspect:
-			e.State, e.since, e.sendsLeft = Dead, now, t.sends()
-			t.generation++
+			e.State, e.since = Dead, now
+			t.makeNews(e)
 		case e.State == Dead && !e.listed && now.Sub(e.since) >= tombstone:
 			delete(t.members, host)
 			t.generation++
@@ -325,14 +329,23 @@
 // so that it can refute.
 func (t *Table) News(n int, receiver id.Host) []Member {
 	var list []*entry
-	for _, host := range slices.Sorted(maps.Keys(t.members)) {
+	for host := range t.fresh {
 		e := t.members[host]
-		if e.sendsLeft > 0 && e.State != Unseen || host == receiver && (e.State == Suspect || e.State == Dead) {
-			list = append(list, e)
+		if e == nil || e.sendsLeft == 0 {
+			delete(t.fresh, host)
+			continue
 		}
+		list = append(list, e)
+	}
+	if e := t.members[receiver]; e != nil && (e.State == Suspect || e.State == Dead) && !t.fresh[receiver] {
+		list = append(list, e)
 	}
-	slices.SortStableFunc(list, func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(rankFor(b, receiver), rankFor(a, receiver)), cmp.Compare(b.sendsLeft, a.sendsLeft))
+	slices.SortFunc(list, func(a, b *entry) int {
+		return cmp.Or(
+			cmp.Compare(rankFor(b, receiver), rankFor(a, receiver)),
+			cmp.Compare(b.sendsLeft, a.sendsLeft),
+			cmp.Compare(a.Host, b.Host),
+		)
 	})
 	var news []Member
 	for _, e := range list[:min(n, len(list))] {
@@ -349,8 +362,12 @@
 	return 0
 }
 
-// Members returns every member that is known, with this daemon, by host.
+// Members returns every member that is known, with this daemon, by host. The
+// list must not be changed.
 func (t *Table) Members() []Member {
+	if t.view != nil && t.viewed == t.generation {
+		return t.view
+	}
 	list := []Member{t.self}
 	for _, e := range t.members {
 		m := e.Member
@@ -360,6 +377,7 @@
 		list = append(list, m)
 	}
 	slices.SortFunc(list, func(a, b Member) int { return cmp.Compare(a.Host, b.Host) })
+	t.view, t.viewed = list, t.generation
 	return list
 }
 
