--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -356,7 +356,7 @@
 	state := s.judge.State(t.endpoint.ID)
 	capacity := s.targetCapacity(now, t)
 	switch {
-	case t.running >= capacity:
+	case t.running >= capacity+s.extra(now, t, job):
 		return false
 	case state == health.Trial && !job.Route.Idempotent:
 		return false
@@ -369,6 +369,19 @@
 	}
 }
 
+// extra returns how many requests a target may be given beyond its slots: one
+// short request while so many wait that every slot is taken at once when it
+// becomes free. It is there when the one before it ends, a network's time
+// sooner.
+func (s *Scheduler) extra(now time.Time, t *target, job Job) int {
+	full := t.running == int(s.policy.Slots) && s.judge.State(t.endpoint.ID) == health.Serving
+	saturated := s.queue.len() >= len(s.targets)*int(s.policy.Slots)
+	if job.Route.Long || !full || !saturated || now.Before(t.extraFrom) {
+		return 0
+	}
+	return 1
+}
+
 // triedCost makes a target that an earlier attempt used the last choice.
 const triedCost = 10
 
@@ -451,7 +464,7 @@
 		return
 	case outcome.Declined:
 		t.reached()
-		t.shed()
+		t.shed(now)
 		return
 	case outcome.Lost, outcome.WriteFailed:
 		t.unreachable(now)
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -23,6 +23,9 @@
 	// limitRecovery is how many slots per second a target gains back after it
 	// shed load.
 	limitRecovery = 2.0
+	// extraPause is how long a target that declined is given no request beyond
+	// its slots.
+	extraPause = 10 * time.Second
 )
 
 // target is one target as the scheduler sees it.
@@ -34,6 +37,9 @@
 	// limit is how many requests the target showed that it takes; between 1
 	// and the declared slots.
 	limit float64
+	// extraFrom is when the target may be given a request beyond its slots
+	// again, after it declined one.
+	extraFrom time.Time
 	// leaving is set by the first sign of leaving. lastSign is the last one.
 	leaving  bool
 	lastSign time.Time
@@ -88,7 +94,10 @@
 func (t *target) reached() { t.unfitFor = 0 }
 
 // shed lowers the limit to what the target was running when it declined.
-func (t *target) shed() { t.limit = max(1, float64(t.running)) }
+func (t *target) shed(now time.Time) {
+	t.limit = max(1, float64(t.running))
+	t.extraFrom = now.Add(extraPause)
+}
 
 // recover raises the limit towards the declared slots.
 func (t *target) recover(elapsed time.Duration, slots unit.Slots) {
