Test what front ends read, hold and cut

Cause: bodies, heads and cuts at the front ends had no test of their own.

Change: requests as data with golden answers, a fuzz target for the decoder, bodies beyond the memory, and a cut answer that cuts the receiver's connection.

--- /dev/null
+++ b/caller/request_test.go
@@ -0,0 +1,54 @@
+package caller
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+)
+
+// TestDecode reads the requests of testdata/requests.txt, which are separated
+// by lines of dashes, as the library and then this package do.
+func TestDecode(t *testing.T) {
+	data, err := os.ReadFile("testdata/requests.txt")
+	require.NoError(t, err)
+	var out strings.Builder
+	for _, text := range strings.Split(string(data), "---\n") {
+		first, _, _ := strings.Cut(text, "\n")
+		fmt.Fprintln(&out, first, "->", decoded(text))
+	}
+	goldie.New(t).Assert(t, "requests", []byte(out.String()))
+}
+
+func decoded(text string) string {
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(strings.ReplaceAll(text, "\n", "\r\n") + "\r\n")))
+	if err != nil {
+		return "library: " + err.Error()
+	}
+	start := time.Unix(0, 0)
+	req, err := decode(r, start)
+	if err != nil {
+		return err.Error()
+	}
+	left := "route's timeout"
+	if !req.Deadline.IsZero() {
+		left = req.Deadline.Sub(start).String()
+	}
+	return fmt.Sprintf("caller %q key %q %s %s, %s", req.Caller, req.Key, req.Path, left, req.Header)
+}
+
+// FuzzDecode looks for requests that make the decoder fail.
+func FuzzDecode(f *testing.F) {
+	data, err := os.ReadFile("testdata/requests.txt")
+	require.NoError(f, err)
+	for _, text := range strings.Split(string(data), "---\n") {
+		f.Add(text)
+	}
+	f.Fuzz(func(_ *testing.T, text string) { decoded(text) })
+}
--- /dev/null
+++ b/message/message_test.go
@@ -0,0 +1,93 @@
+package message
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/briarrouter/briarrouter/memory"
+	"github.com/briarrouter/briarrouter/outcome"
+	"github.com/briarrouter/briarrouter/unit"
+	"github.com/briarrouter/briarrouter/work"
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+)
+
+// TestReadBody reads more bodies than there is memory for: those that do not
+// fit are streamed, none is refused, and everything is given back.
+func TestReadBody(t *testing.T) {
+	var out strings.Builder
+	gate := memory.New(256)
+	cfg := BodyConfig{Limit: 200, Buffer: 100, Memory: gate, Pause: time.Second}
+	var releases []func()
+	for _, c := range []struct {
+		size    int
+		chunked bool
+	}{{0, false}, {60, false}, {100, false}, {101, false}, {60, true}, {60, false}, {150, true}, {200, false}, {201, false}, {250, true}} {
+		body := io.Reader(bytes.NewReader(bytes.Repeat([]byte("x"), c.size)))
+		if c.chunked {
+			body = struct{ io.Reader }{body}
+		}
+		r := httptest.NewRequest(http.MethodPost, "/", body)
+		b, release, err := ReadBody(httptest.NewRecorder(), r, cfg)
+		releases = append(releases, release)
+		fmt.Fprintf(&out, "%d bytes, chunked %v: held %d, replayable %v, error %v, gate %s\n",
+			c.size, c.chunked, len(b.Held), b.Replayable(), err, gate.State().Held)
+		if b.Rest != nil {
+			rest, err := io.ReadAll(b.Rest)
+			fmt.Fprintf(&out, "  then %d streamed, error %v\n", len(rest), err)
+		}
+	}
+	for _, release := range releases {
+		release()
+	}
+	fmt.Fprintf(&out, "at the end: %+v\n", gate.State())
+	goldie.New(t).Assert(t, "bodies", []byte(out.String()))
+}
+
+// TestEndToEnd drops what belongs to one connection or to the system.
+func TestEndToEnd(t *testing.T) {
+	h := http.Header{}
+	for _, line := range []string{
+		"Accept: a", "Connection: close, X-Mine", "X-Mine: 1", "Keep-Alive: 5", "Te: trailers", "Transfer-Encoding: chunked",
+		"Upgrade: x", "Briarrouter-Outcome: ran", "Briarrouter-Hops: 0", "Content-Length: 3", "Cookie: c",
+	} {
+		name, value, _ := strings.Cut(line, ": ")
+		h.Add(name, value)
+	}
+	require.Equal(t, http.Header{"Accept": {"a"}, "Cookie": {"c"}}, EndToEnd(h))
+}
+
+// broken is a stream that is cut.
+type broken struct{ io.Reader }
+
+func (broken) Close() error { return nil }
+
+func (b broken) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err == io.EOF {
+		return n, errors.New("answer was cut")
+	}
+	return n, err
+}
+
+// TestCutAnswer cuts the receiver's connection where the answer was cut.
+func TestCutAnswer(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		WriteAnswer(w, "1", work.Answer{
+			Outcome: outcome.Ran, Status: http.StatusOK, Held: bytes.Repeat([]byte("x"), 8<<10), Rest: broken{strings.NewReader("llo")}, Size: unit.Bytes(-1),
+		}, time.Second)
+	}))
+	defer server.Close()
+	resp, err := http.Get(server.URL)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	_, err = io.ReadAll(resp.Body)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
