Rank only the first daemons of a service; benchmarks of the decisions

Cause: BenchmarkRank: the order of 940 daemons for one service took 3.07 ms. With 370 services that is 1.1 s of processor time after each change of the roster, some 22% of a core at the size to come.

Change: hashes of the hosts are made once a view, weights come from a mixer, and only the first eight daemons are ranked. Benchmarks for a request's decisions, a tick, and the memory of a key.

Conclusion: kept; services of hundreds of targets want cells (not built).

--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -73,3 +74,27 @@
 	}
 	return string(verdict)
 }
+
+// BenchmarkKey reports the memory of one key without its answer.
+func BenchmarkKey(b *testing.B) {
+	const keys = 100_000
+	for range b.N {
+		before := heap()
+		start := time.Unix(0, 0)
+		table := New(Config{Incarnation: self, Start: start, Epoch: time.Minute, Keys: keys, Answers: 0})
+		for i := range keys {
+			k := id.Key(fmt.Sprintf("%s-0-booking-%08d", self, i))
+			_, e := table.Claim(start, k, work.Fingerprint(i))
+			table.Settle(k, e, work.Answer{Outcome: outcome.Ran, Status: 200})
+		}
+		b.ReportMetric(float64(heap()-before)/keys, "bytes/key")
+		runtime.KeepAlive(table)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -301,7 +301,7 @@
 func (s *Service) tellStandbys(service id.Service) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ranked := steering.Rank(service, s.table.Members())
+	ranked := steering.New(s.table.Members()).Rank(service)
 	for _, m := range ranked[:min(standbys, len(ranked))] {
 		if l := s.links[m.Host]; l != nil {
 			l.wake()
--- a/router/prepare.go
+++ b/router/prepare.go
@@ -16,24 +16,24 @@
 type ranks struct {
 	mu         sync.Mutex
 	generation uint64
-	members    []roster.Member
-	orders     map[id.Service][]roster.Member
+	order      *steering.Order
+	ranked     map[id.Service][]roster.Member
 }
 
 // of returns the order for a service. It must not be changed.
 func (r *ranks) of(s id.Service, p peers) []roster.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if g := p.Generation(); r.orders == nil || g != r.generation {
-		r.generation, r.members = g, p.Members()
-		r.orders = make(map[id.Service][]roster.Member)
+	if g := p.Generation(); r.order == nil || g != r.generation {
+		r.generation, r.order = g, steering.New(p.Members())
+		r.ranked = make(map[id.Service][]roster.Member)
 	}
-	order, ok := r.orders[s]
+	list, ok := r.ranked[s]
 	if !ok {
-		order = steering.Rank(s, r.members)
-		r.orders[s] = order
+		list = r.order.Rank(s)
+		r.ranked[s] = list
 	}
-	return order
+	return list
 }
 
 const (
--- /dev/null
+++ b/schedule/benchmark_test.go
@@ -0,0 +1,61 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/outcome"
+	"github.com/briarrouter/briarrouter/quarantine"
+	"github.com/briarrouter/briarrouter/work"
+)
+
+func busy(targets int) *Scheduler {
+	policy := &configuration.Service{
+		Slots: 2, Floor: 1, LongShare: 1, Queue: 1000, Evidence: 20, FirstEjection: time.Second,
+	}
+	s := New(policy, quarantine.New(), rand.New(rand.NewPCG(1, 1)))
+	var list []Endpoint
+	for i := range targets {
+		name := fmt.Sprintf("t%04d", i)
+		list = append(list, Endpoint{ID: id.Target(name), Address: id.Address(name)})
+	}
+	s.SetTargets(time.Unix(0, 0), list)
+	return s
+}
+
+// BenchmarkRequest is the decisions for one request: its arrival and its end.
+func BenchmarkRequest(b *testing.B) {
+	for _, targets := range []int{14, 35, 350} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			s := busy(targets)
+			route := &configuration.Route{Name: "read", Idempotent: true}
+			now := time.Unix(0, 0)
+			for i := range b.N {
+				now = now.Add(time.Millisecond)
+				job := Job{Ticket: Ticket(i + 1), Route: route, Fingerprint: work.Fingerprint(i), Deadline: now.Add(time.Second)}
+				s.Arrive(now, job)
+				s.Finish(now, job.Ticket, Result{Ending: outcome.Answered, Elapsed: time.Duration(10+i%7) * time.Millisecond})
+				s.Next(now)
+			}
+		})
+	}
+}
+
+// BenchmarkTick is what a service costs twenty times a second without load.
+func BenchmarkTick(b *testing.B) {
+	for _, targets := range []int{14, 35, 350} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			s := busy(targets)
+			now := time.Unix(0, 0)
+			for range b.N {
+				now = now.Add(50 * time.Millisecond)
+				s.Tick(now)
+				s.Next(now)
+			}
+		})
+	}
+}
--- a/steering/steering.go
+++ b/steering/steering.go
@@ -11,24 +11,24 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// weight is the rendezvous weight of a host for a service.
-func weight(s id.Service, h id.Host) uint64 {
-	return xxhash.Sum64String(string(s) + "\x00" + string(h))
+// Order ranks one view of the roster for any service.
+type Order struct {
+	// members lists those that may serve, hashes the hash of each one's host.
+	members []roster.Member
+	hashes  []uint64
 }
 
-// Rank orders the members that serve for a service. The first is the active
-// dispatcher. The next ones are standbys in failure domains that do not stand
-// before them, as far as there are any; the rest follow by weight. Members
-// that are suspected come only where no member is known to be alive.
-func Rank(s id.Service, members []roster.Member) []roster.Member {
-	list := withState(members, roster.Alive)
-	if len(list) == 0 {
-		list = withState(members, roster.Suspect)
+// New returns the order of the members that are alive. Members that are
+// suspected count only where no member is known to be alive.
+func New(members []roster.Member) *Order {
+	o := &Order{members: withState(members, roster.Alive)}
+	if len(o.members) == 0 {
+		o.members = withState(members, roster.Suspect)
 	}
-	slices.SortFunc(list, func(a, b roster.Member) int {
-		return cmp.Or(cmp.Compare(weight(s, b.Host), weight(s, a.Host)), cmp.Compare(a.Host, b.Host))
-	})
-	return spread(list)
+	for _, m := range o.members {
+		o.hashes = append(o.hashes, xxhash.Sum64String(string(m.Host)))
+	}
+	return o
 }
 
 func withState(members []roster.Member, state roster.State) []roster.Member {
@@ -41,26 +41,84 @@
 	return list
 }
 
-// spread moves the first member of each failure domain to the front and keeps
-// the order otherwise.
-func spread(list []roster.Member) []roster.Member {
-	seen := make(map[id.FailureDomain]bool)
-	var first, rest []roster.Member
-	for _, m := range list {
-		if seen[m.FailureDomain] {
-			rest = append(rest, m)
-			continue
+// mix spreads the bits of x evenly. It is the finalizer of splitmix64 (Steele,
+// Lea and Flood 2014).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// ranked is a member with its rendezvous weight for a service.
+type ranked struct {
+	index  int
+	weight uint64
+}
+
+// maxRanked is how many members are ranked for a service.
+const maxRanked = 8
+
+// Rank returns the first members for a service, at most maxRanked. The first
+// one is the active dispatcher. The next ones are standbys in failure domains
+// that do not stand before them, as far as there are any; the rest follow by
+// weight.
+func (o *Order) Rank(s id.Service) []roster.Member {
+	service := xxhash.Sum64String(string(s))
+	best := make(map[id.FailureDomain]ranked)
+	// rest holds the heaviest members that are not the best of their domain.
+	var rest []ranked
+	for i, hash := range o.hashes {
+		r := ranked{i, mix(service ^ hash)}
+		domain := o.members[i].FailureDomain
+		if b, ok := best[domain]; !ok || r.weight > b.weight {
+			best[domain] = r
+			if !ok {
+				continue
+			}
+			r = b
 		}
-		seen[m.FailureDomain] = true
-		first = append(first, m)
+		rest = keepHeaviest(rest, r)
+	}
+	var first []ranked
+	for _, r := range best {
+		first = append(first, r)
 	}
-	return append(first, rest...)
+	slices.SortFunc(first, heavier)
+	slices.SortFunc(rest, heavier)
+	first = append(first, rest...)
+	var list []roster.Member
+	for _, r := range first[:min(maxRanked, len(first))] {
+		list = append(list, o.members[r.index])
+	}
+	return list
+}
+
+func heavier(a, b ranked) int {
+	return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.index, b.index))
+}
+
+// keepHeaviest adds r to a list that keeps its maxRanked heaviest entries.
+func keepHeaviest(list []ranked, r ranked) []ranked {
+	if len(list) < maxRanked {
+		return append(list, r)
+	}
+	lightest := 0
+	for i := range list {
+		if list[i].weight < list[lightest].weight {
+			lightest = i
+		}
+	}
+	if r.weight > list[lightest].weight {
+		list[lightest] = r
+	}
+	return list
 }
 
 // Answers returns the members whose addresses a caller gets, at most n of the
-// ranked ones. A member that stands for the service names itself first, so that its
-// callers stay with it; any other one starts at the turn, so that callers
-// spread. While no other member is known to serve, it names this daemon.
+// ranked ones. A member that stands for the service names itself first, so
+// that its callers stay with it; any other one starts at the turn, so that
+// callers spread. While no other member is known to serve, it names this
+// daemon.
 func Answers(ranked []roster.Member, self roster.Member, n, turn int) []roster.Member {
 	if len(ranked) == 0 {
 		return []roster.Member{self}
--- a/steering/steering_test.go
+++ b/steering/steering_test.go
@@ -36,15 +36,15 @@
 	var b strings.Builder
 	for _, s := range []id.Service{"vacancies", "reservations", "dossiers"} {
 		members := fleet(8)
-		ranked := Rank(s, members)
+		ranked := New(members).Rank(s)
 		fmt.Fprintln(&b, s, "ranked:", hosts(ranked))
 		for _, state := range []roster.State{roster.Dead, roster.Leaving, roster.Suspect, roster.Joining} {
-			fmt.Fprintln(&b, s, "first is", state, ":", hosts(Rank(s, with(members, ranked[0].Host, state))[:4]))
+			fmt.Fprintln(&b, s, "first is", state, ":", hosts(New(with(members, ranked[0].Host, state)).Rank(s)[:4]))
 		}
 	}
 	suspects := fleet(2)
 	suspects[0].State, suspects[1].State = roster.Suspect, roster.Dead
-	fmt.Fprintln(&b, "suspects only:", hosts(Rank("vacancies", suspects)))
+	fmt.Fprintln(&b, "suspects only:", hosts(New(suspects).Rank("vacancies")))
 	goldie.New(t).Assert(t, "rank", []byte(b.String()))
 }
 
@@ -63,7 +63,7 @@
 	var b strings.Builder
 	members := fleet(8)
 	for _, self := range members {
-		fmt.Fprintln(&b, self.Host, "answers:", hosts(Answers(Rank("reservations", members), self, 4, 1)))
+		fmt.Fprintln(&b, self.Host, "answers:", hosts(Answers(New(members).Rank("reservations"), self, 4, 1)))
 	}
 	lonely := roster.Member{Host: "host-09", State: roster.Joining}
 	fmt.Fprintln(&b, "nobody is known:", hosts(Answers(nil, lonely, 4, 1)))
@@ -75,12 +75,13 @@
 func TestMovement(t *testing.T) {
 	var b strings.Builder
 	const services = 370
-	for _, n := range []int{40, 160} {
+	for _, n := range []int{40, 160, 940} {
 		members := fleet(n)
 		moved := 0
+		before, after := New(members), New(members[:n-1])
 		for i := range services {
 			s := id.Service(fmt.Sprintf("service-%d", i))
-			if Rank(s, members)[0].Host != Rank(s, members[:n-1])[0].Host {
+			if before.Rank(s)[0].Host != after.Rank(s)[0].Host {
 				moved++
 			}
 		}
@@ -88,3 +89,16 @@
 	}
 	goldie.New(t).Assert(t, "movement", []byte(b.String()))
 }
+
+// BenchmarkRank is the order of the daemons for one service, after a change of
+// the roster.
+func BenchmarkRank(b *testing.B) {
+	for _, n := range []int{40, 160, 940} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			order := New(fleet(n))
+			for range b.N {
+				order.Rank("reservations")
+			}
+		})
+	}
+}
