Do not blame a target for a request's wait beyond its slots; bound the spreading

The request waited on the target, behind long work above all, and its wait counted as the target's slowness.

Ruled out: leaving out the samples of such requests (under saturation that is every sample, so a gray target would not be seen at the peak).

Change: the time of such a request counts from when the target's slot became free; none is given to a target that runs long work. News is spread at once at most every two seconds in the long run, with four times in a row.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -29,6 +29,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 )
 
 // ServiceName is the name of the Service in the kernel.
@@ -92,10 +93,10 @@
 	answered map[id.Host]bool
 	// connected is the roster's generation when the links were made.
 	connected uint64
-	// spreadAt is when news was last spread at once.
-	spreadAt time.Time
-	started  time.Time
-	leaving  bool
+	// spreads bounds how often news is spread at once.
+	spreads *rate.Limiter
+	started time.Time
+	leaving bool
 }
 
 // New returns a service that knows no peer yet.
@@ -107,6 +108,7 @@
 		table:    roster.New(roster.Config{Self: cfg.Self, Suspect: cfg.Timing.Suspect, Random: random}),
 		links:    make(map[id.Host]*link),
 		answered: make(map[id.Host]bool),
+		spreads:  rate.NewLimiter(spreadRate, spreadBurst),
 	}
 }
 
@@ -421,17 +423,19 @@
 // leaveTo is how many peers a daemon that leaves tells itself.
 const leaveTo = 8
 
-// spreadEvery is the least time between two times that news is spread at once.
-const spreadEvery = 100 * time.Millisecond
+const (
+	// spreadRate is how often a second news is spread at once in the long run,
+	// and spreadBurst how often in a row. The bound keeps a fleet that is short
+	// of processor time from adding probes to its trouble.
+	spreadRate  = 0.5
+	spreadBurst = 4
+)
 
 // spread gives a few links a turn. The lock is held.
 func (s *Service) spread() {
-	now := time.Now()
-	if now.Sub(s.spreadAt) < spreadEvery {
-		return
+	if s.spreads.Allow() {
+		s.tell(spreadTo)
 	}
-	s.spreadAt = now
-	s.tell(spreadTo)
 }
 
 // tell gives the links to n peers a turn. The lock is held.
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -59,10 +59,14 @@
 
 // grant is a job that holds a slot.
 type grant struct {
-	job     Job
-	target  *target
+	job    Job
+	target *target
+	// since is when the target could begin to run the job.
 	since   time.Time
 	suspect bool
+	// beyond tells that the job was granted beyond the target's slots, so that
+	// it waited there; pending that it still waits.
+	beyond, pending bool
 }
 
 // Scheduler decides for one service. It is not safe for concurrent use.
@@ -73,7 +77,7 @@
 	suspects *quarantine.Table
 	// targets is ordered by id, so that decisions depend on the seed only.
 	targets []*target
-	granted map[Ticket]grant
+	granted map[Ticket]*grant
 	queue   queue
 	times   map[id.Route]*estimate
 	ticked  time.Time
@@ -92,7 +96,7 @@
 		random:   random,
 		judge:    health.New(judgeConfig(policy)),
 		suspects: suspects,
-		granted:  make(map[Ticket]grant),
+		granted:  make(map[Ticket]*grant),
 		times:    make(map[id.Route]*estimate),
 	}
 	s.queue.init(policy)
@@ -309,7 +313,8 @@
 }
 
 func (s *Scheduler) grant(now time.Time, job Job, t *target) Decision {
-	g := grant{job: job, target: t, since: now, suspect: s.suspects.Suspect(job.Fingerprint)}
+	beyond := t.running >= int(s.policy.Slots)
+	g := &grant{job: job, target: t, since: now, suspect: s.suspects.Suspect(job.Fingerprint), beyond: beyond, pending: beyond}
 	t.running++
 	t.long += count(job.Route.Long)
 	t.suspect += count(g.suspect)
@@ -369,14 +374,14 @@
 	}
 }
 
-// extra returns how many requests a target may be given beyond its slots: one
-// short request while so many wait that every slot is taken at once when it
+// extra returns how many requests a target without long work may be given
+// beyond its slots: one short request while so many wait that every slot is taken at once when it
 // becomes free. It is there when the one before it ends, a network's time
 // sooner.
 func (s *Scheduler) extra(now time.Time, t *target, job Job) int {
 	full := t.running == int(s.policy.Slots) && s.judge.State(t.endpoint.ID) == health.Serving
 	saturated := s.queue.len() >= len(s.targets)*int(s.policy.Slots)
-	if job.Route.Long || !full || !saturated || now.Before(t.extraFrom) {
+	if job.Route.Long || t.long > 0 || !full || !saturated || now.Before(t.extraFrom) {
 		return 0
 	}
 	return 1
@@ -445,6 +450,9 @@
 	t.long -= count(g.job.Route.Long)
 	t.suspect -= count(g.suspect)
 	s.queue.ended(g.job.Caller)
+	if !g.pending {
+		s.beginPending(now, t)
+	}
 	if r.Draining {
 		t.leave(now)
 	}
@@ -452,9 +460,23 @@
 	s.tellAbsent(now)
 }
 
+// beginPending notes that the job that waits on a target begins to run there.
+func (s *Scheduler) beginPending(now time.Time, t *target) {
+	for _, g := range s.granted {
+		if g.target == t && g.pending {
+			g.pending, g.since = false, now
+			return
+		}
+	}
+}
+
 // learn draws the conclusions about the target and the request.
-func (s *Scheduler) learn(now time.Time, g grant, r Result) {
+func (s *Scheduler) learn(now time.Time, g *grant, r Result) {
 	t, job := g.target, g.job
+	if g.beyond {
+		// The time that the job waited behind others is no sign of the target.
+		r.Elapsed = min(r.Elapsed, now.Sub(g.since))
+	}
 	sample := health.Sample{Target: t.endpoint.ID, Route: job.Route.Name, Elapsed: r.Elapsed}
 	switch r.Ending {
 	case outcome.DialFailed:
@@ -473,6 +495,9 @@
 		}
 		return
 	case outcome.TimedOut, outcome.Cancelled:
+		if g.pending {
+			return
+		}
 		sample.Censored = true
 	case outcome.Answered:
 		t.reached()
@@ -516,6 +541,9 @@
 	list := make([]health.Running, 0, len(s.granted))
 	for _, ticket := range slices.Sorted(maps.Keys(s.granted)) {
 		g := s.granted[ticket]
+		if g.pending {
+			continue
+		}
 		list = append(list, health.Running{Target: g.target.endpoint.ID, Route: g.job.Route.Name, Age: now.Sub(g.since)})
 	}
 	return list
