Divide the large files by their job

Cause: schedule/scheduler.go had 617 lines, peer/peer.go 468, health/health.go 407, dispatch/service.go 402; a newcomer could not find the choice of a target.

No line of behaviour changes.

--- /dev/null
+++ b/schedule/choice.go
@@ -0,0 +1,157 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"github.com/briarrouter/briarrouter/health"
+)
+
+// grant is a job that holds a slot.
+type grant struct {
+	job    Job
+	target *target
+	// since is when the target could begin to run the job.
+	since   time.Time
+	suspect bool
+	// beyond tells that the job was granted beyond the target's slots, so that
+	// it waited there; pending that it still waits.
+	beyond, pending bool
+}
+
+// nextGrant returns the waiting job that runs next and its target. Short work
+// goes first, but long work keeps half of its share of the slots.
+func (s *Scheduler) nextGrant(now time.Time) (Job, *target) {
+	short, haveShort := s.queue.best(false)
+	long, haveLong := s.queue.best(true)
+	longFirst := haveLong && s.runningLong() < (s.longLimit(now)+1)/2 &&
+		(!haveShort || long.Deadline.Before(short.Deadline))
+	order := []Job{short, long}
+	have := []bool{haveShort, haveLong}
+	if longFirst {
+		order, have = []Job{long, short}, []bool{haveLong, haveShort}
+	}
+	for i, job := range order {
+		if !have[i] {
+			continue
+		}
+		if t := s.pick(now, job); t != nil {
+			return job, t
+		}
+	}
+	return Job{}, nil
+}
+
+func (s *Scheduler) grant(now time.Time, job Job, t *target) Decision {
+	beyond := t.running >= int(s.policy.Slots)
+	g := &grant{job: job, target: t, since: now, suspect: s.suspects.Suspect(job.Fingerprint), beyond: beyond, pending: beyond}
+	t.running++
+	t.long += count(job.Route.Long)
+	t.suspect += count(g.suspect)
+	s.granted[job.Ticket] = g
+	s.queue.started(job.Caller)
+	s.counts.Granted++
+	return Decision{Kind: Granted, Endpoint: t.endpoint}
+}
+
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// pick chooses the target for a job, or nil where none has a free slot.
+func (s *Scheduler) pick(now time.Time, job Job) *target {
+	if job.Route.Long && s.runningLong() >= s.longLimit(now) {
+		return nil
+	}
+	suspect := s.suspects.Suspect(job.Fingerprint)
+	var best *target
+	bestCost, ties := 0.0, 0
+	for _, t := range s.targets {
+		if !s.eligible(now, t, job, suspect) {
+			continue
+		}
+		cost := s.cost(now, t, job)
+		switch {
+		case best == nil || cost < bestCost:
+			best, bestCost, ties = t, cost, 1
+		case cost == bestCost:
+			ties++
+			if s.random.IntN(ties) == 0 {
+				best = t
+			}
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) eligible(now time.Time, t *target, job Job, suspect bool) bool {
+	state := s.judge.State(t.endpoint.ID)
+	capacity := s.targetCapacity(now, t)
+	switch {
+	case t.running >= capacity+s.extra(now, t, job):
+		return false
+	case state == health.Trial && !job.Route.Idempotent:
+		return false
+	case suspect && t.suspect > 0:
+		return false
+	case job.Route.Long && capacity > 1 && t.long >= capacity-1:
+		return false
+	default:
+		return true
+	}
+}
+
+// extra returns how many requests a target without long work may be given
+// beyond its slots: one short request while so many wait that every slot is taken at once when it
+// becomes free. It is there when the one before it ends, a network's time
+// sooner.
+func (s *Scheduler) extra(now time.Time, t *target, job Job) int {
+	full := t.running == int(s.policy.Slots) && s.judge.State(t.endpoint.ID) == health.Serving
+	saturated := s.queue.len() >= len(s.targets)*int(s.policy.Slots)
+	if job.Route.Long || t.long > 0 || !full || !saturated || now.Before(t.extraFrom) {
+		return 0
+	}
+	return 1
+}
+
+// triedCost makes a target that an earlier attempt used the last choice.
+const triedCost = 10
+
+// cost orders the eligible targets; the lowest is chosen. Suspicion does not
+// count: a suspected target that got less work would take longer to judge.
+func (s *Scheduler) cost(now time.Time, t *target, job Job) float64 {
+	cost := float64(t.running) / float64(s.targetCapacity(now, t))
+	if slices.Contains(job.Tried, t.endpoint.ID) {
+		cost += triedCost
+	}
+	return cost
+}
+
+func (s *Scheduler) targetCapacity(now time.Time, t *target) int {
+	return t.capacity(now, s.policy.Slots, s.policy.Warmup, s.judge.State(t.endpoint.ID))
+}
+
+// capacity returns how many requests the service may run now.
+func (s *Scheduler) capacity(now time.Time) int {
+	n := 0
+	for _, t := range s.targets {
+		n += s.targetCapacity(now, t)
+	}
+	return n
+}
+
+// longLimit returns how many slots long work may take now; at least one.
+func (s *Scheduler) longLimit(now time.Time) int {
+	return max(1, int(float64(s.policy.LongShare)*float64(s.capacity(now))))
+}
+
+func (s *Scheduler) runningLong() int {
+	n := 0
+	for _, t := range s.targets {
+		n += t.long
+	}
+	return n
+}
--- /dev/null
+++ b/schedule/result.go
@@ -0,0 +1,143 @@
+package schedule
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/briarrouter/briarrouter/health"
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/outcome"
+)
+
+// Result is how a granted job ended.
+type Result struct {
+	Ending outcome.Ending
+	// Wrong tells that the answer was complete and its contents were a
+	// failure of the target.
+	Wrong bool
+	// Draining tells that the target said that it is leaving.
+	Draining bool
+	// Elapsed is the time on the target; to the head of a streamed answer.
+	Elapsed time.Duration
+}
+
+// Finish ends a granted job and frees its slot.
+func (s *Scheduler) Finish(now time.Time, ticket Ticket, r Result) {
+	g, ok := s.granted[ticket]
+	if !ok {
+		panic("schedule: ticket finished twice")
+	}
+	delete(s.granted, ticket)
+	t := g.target
+	t.running--
+	t.long -= count(g.job.Route.Long)
+	t.suspect -= count(g.suspect)
+	s.queue.ended(g.job.Caller)
+	if !g.pending {
+		s.beginPending(now, t)
+	}
+	if r.Draining {
+		t.leave(now)
+	}
+	s.learn(now, g, r)
+	s.tellAbsent(now)
+}
+
+// beginPending notes that the job that waits on a target begins to run there.
+func (s *Scheduler) beginPending(now time.Time, t *target) {
+	for _, g := range s.granted {
+		if g.target == t && g.pending {
+			g.pending, g.since = false, now
+			return
+		}
+	}
+}
+
+// learn draws the conclusions about the target and the request.
+func (s *Scheduler) learn(now time.Time, g *grant, r Result) {
+	t, job := g.target, g.job
+	if g.beyond {
+		// The time that the job waited behind others is no sign of the target.
+		r.Elapsed = min(r.Elapsed, now.Sub(g.since))
+	}
+	sample := health.Sample{Target: t.endpoint.ID, Route: job.Route.Name, Elapsed: r.Elapsed}
+	switch r.Ending {
+	case outcome.DialFailed:
+		t.unreachable(now)
+		return
+	case outcome.NotWritten, outcome.BodyFailed:
+		return
+	case outcome.Declined:
+		t.reached()
+		t.shed(now)
+		return
+	case outcome.Lost, outcome.WriteFailed:
+		t.unreachable(now)
+		if s.suspects.Died(now, job.Fingerprint, t.endpoint.ID) {
+			s.counts.Quarantined++
+		}
+		return
+	case outcome.TimedOut, outcome.Cancelled:
+		if g.pending {
+			return
+		}
+		sample.Censored = true
+	case outcome.Answered:
+		t.reached()
+		s.suspects.Cleared(job.Fingerprint)
+		s.estimate(job.Route.Name).add(r.Elapsed)
+		sample.Wrong = r.Wrong
+	default:
+		sample.Wrong = true
+	}
+	s.observe(now, sample)
+}
+
+func (s *Scheduler) observe(now time.Time, sample health.Sample) {
+	if s.judge.Observe(now, sample) {
+		s.counts.Ejected++
+	}
+}
+
+// Tick does what only the passing of time makes due. Call Next after it.
+func (s *Scheduler) Tick(now time.Time) {
+	elapsed := now.Sub(s.ticked)
+	if s.ticked.IsZero() {
+		elapsed = 0
+	}
+	s.ticked = now
+	for _, t := range s.targets {
+		t.recover(elapsed, s.policy.Slots)
+	}
+	for _, e := range s.times {
+		e.decay(elapsed)
+	}
+	for _, name := range s.suspects.Expire(now) {
+		s.observe(now, health.Sample{Target: name, Wrong: true})
+	}
+	s.tellAbsent(now)
+	s.judge.Tick(now)
+	s.counts.Ejected += int64(len(s.judge.ObserveRunning(now, s.running(now))))
+}
+
+func (s *Scheduler) running(now time.Time) []health.Running {
+	list := make([]health.Running, 0, len(s.granted))
+	for _, ticket := range slices.Sorted(maps.Keys(s.granted)) {
+		g := s.granted[ticket]
+		if g.pending {
+			continue
+		}
+		list = append(list, health.Running{Target: g.target.endpoint.ID, Route: g.job.Route.Name, Age: now.Sub(g.since)})
+	}
+	return list
+}
+
+func (s *Scheduler) estimate(r id.Route) *estimate {
+	e := s.times[r]
+	if e == nil {
+		e = &estimate{}
+		s.times[r] = e
+	}
+	return e
+}
