Hold back the answer that quarantines a request until the standbys know

The trace: the request was quarantined after two targets and answered; its caller repeated it at once by way of a daemon whose view named another dispatcher, which had not heard of the quarantine and ran it on the third target.

Ruled out: waiting in the test until the views agree; the promise is about callers who repeat at once.

Change: the answer to a request that was just quarantined is held back for 250 ms, while the news goes to the standbys. Repeats that are sent before the answer can still meet a dispatcher that does not know.

--- a/dispatch/handle.go
+++ b/dispatch/handle.go
@@ -23,6 +23,9 @@
 	for attempt := 1; ; attempt++ {
 		decision := s.acquire(ctx, &job)
 		if decision.Kind == schedule.Refused {
+			if decision.Reason == work.Quarantined && attempt > 1 {
+				wait(ctx, newsTime)
+			}
 			cancel()
 			return refusal(known, decision)
 		}
@@ -43,6 +46,20 @@
 	}
 }
 
+// newsTime is how long the answer to a request that was just quarantined is
+// held back, so that the standbys know of it before its caller repeats it.
+const newsTime = 250 * time.Millisecond
+
+// wait lets time pass while the context lasts.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // begin counts a first attempt and waits for the first list of targets.
 func (s *serviceDispatcher) begin(ctx context.Context) {
 	s.mu.Lock()
@@ -57,15 +74,15 @@
 
 // acquire waits for a slot. It gives the job a new ticket.
 func (s *serviceDispatcher) acquire(ctx context.Context, job *schedule.Job) schedule.Decision {
-	decision, wait := s.arrive(job)
+	decision, granted := s.arrive(job)
 	if decision.Kind != schedule.Waiting {
 		return decision
 	}
 	select {
-	case decision = <-wait:
+	case decision = <-granted:
 		return decision
 	case <-ctx.Done():
-		return s.withdraw(job.Ticket, wait)
+		return s.withdraw(job.Ticket, granted)
 	}
 }
 
@@ -138,14 +155,9 @@
 
 func (s *serviceDispatcher) backoff(ctx context.Context, attempt int) {
 	s.mu.Lock()
-	wait := retry.Backoff(attempt, s.random)
+	pause := retry.Backoff(attempt, s.random)
 	s.mu.Unlock()
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	wait(ctx, pause)
 }
 
 // refusal is the answer where the scheduler refuses.
