Look at the clock itself right before the first byte

Cause: reading the code: a process that is paused after its slot was granted may write before the context's timer has run, and start work after its deadline.

Change: exchange compares the deadline with the clock before it writes.

Measured: exchange and schedule scripts unchanged and green.

Conclusion: the window that is left is that of the write call.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return failed(outcome.DialFailed, err)
 	}
-	if err := ctx.Err(); err != nil {
+	if err := ended(ctx); err != nil {
 		p.put(c)
 		return failed(outcome.NotWritten, err)
 	}
@@ -85,6 +85,15 @@
 	return reply
 }
 
+// ended returns why nothing may be sent any more, or nil. It looks at the clock
+// itself: in a process that was paused, the timer of the context may come late.
+func ended(ctx context.Context) error {
+	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
+		return context.DeadlineExceeded
+	}
+	return ctx.Err()
+}
+
 // running is one exchange on its connection.
 type running struct {
 	pool   *Pool
--- a/schedule/choice.go
+++ b/schedule/choice.go
@@ -104,10 +104,10 @@
 	}
 }
 
-// extra returns how many requests a target without long work may be given
-// beyond its slots: one short request while so many wait that every slot is taken at once when it
-// becomes free. It is there when the one before it ends, a network's time
-// sooner.
+// extra returns how many requests a target may be given beyond its slots: one
+// short request while more wait than there are slots, so that it is there when
+// the one before it ends, a network's time sooner. A target with long work gets
+// none, since the request would wait behind it.
 func (s *Scheduler) extra(now time.Time, t *target, job Job) int {
 	full := t.running == int(s.policy.Slots) && s.judge.State(t.endpoint.ID) == health.Serving
 	saturated := s.queue.len() >= len(s.targets)*int(s.policy.Slots)
