--- a/health/ratio.go
+++ b/health/ratio.go
@@ -56,10 +56,14 @@
 	return 0
 }
 
+// shiftWeight is how often the evidence against the median of the other targets
+// is taken off the evidence against one.
+const shiftWeight = 2
+
 // exceeds tells whether the evidence against a target exceeds the bound by
 // itself, and beyond what there is against the median of the others. When the
 // whole service becomes slow, the evidence against all of them grows until the
-// history has followed.
+// history has followed, and scatters as it grows.
 func (j *Judge) exceeds(t *target, own float64, of func(id.Target, *target) float64) bool {
 	if own < j.cfg.Evidence {
 		return false
@@ -74,5 +78,5 @@
 		return true
 	}
 	slices.Sort(others)
-	return own-others[len(others)/2] >= j.cfg.Evidence
+	return own-shiftWeight*others[len(others)/2] >= j.cfg.Evidence
 }
