--- a/router/router.go
+++ b/router/router.go
@@ -267,6 +267,9 @@
 		if !mayRelayAgain(ending, req, m.Route) {
 			return r.relayFailed(known, ending)
 		}
+		if known == outcome.Unknown {
+			awaitNews(ctx)
+		}
 	}
 	if known == outcome.NotRun {
 		return r.runner.Run(ctx, req, m)
@@ -274,6 +277,19 @@
 	return r.relayFailed(known, outcome.Lost)
 }
 
+// newsTime is how long a request whose relay was lost is held back, so that the
+// next daemon hears whether it was quarantined meanwhile.
+const newsTime = 250 * time.Millisecond
+
+func awaitNews(ctx context.Context) {
+	timer := time.NewTimer(newsTime)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // joined returns an answer whose outcome covers the relays before it: a daemon
 // that was lost may have run the request.
 func joined(earlier outcome.Outcome, a work.Answer) work.Answer {
