--- a/dispatch/handle.go
+++ b/dispatch/handle.go
@@ -5,9 +5,11 @@
 	"net/http"
 	"time"
 
+	"github.com/briarrouter/briarrouter/clock"
 	"github.com/briarrouter/briarrouter/configuration"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/outcome"
+	"github.com/briarrouter/briarrouter/quarantine"
 	"github.com/briarrouter/briarrouter/retry"
 	"github.com/briarrouter/briarrouter/schedule"
 	"github.com/briarrouter/briarrouter/work"
@@ -24,7 +26,8 @@
 		decision := s.acquire(ctx, &job)
 		if decision.Kind == schedule.Refused {
 			if decision.Reason == work.Quarantined && attempt > 1 {
-				wait(ctx, newsTime)
+				// The standbys must know before the caller repeats the request.
+				clock.Sleep(ctx, quarantine.NewsTime)
 			}
 			cancel()
 			return refusal(known, decision)
@@ -46,20 +49,6 @@
 	}
 }
 
-// newsTime is how long the answer to a request that was just quarantined is
-// held back, so that the standbys know of it before its caller repeats it.
-const newsTime = 250 * time.Millisecond
-
-// wait lets time pass while the context lasts.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // begin counts a first attempt and waits for the first list of targets.
 func (s *serviceDispatcher) begin(ctx context.Context) {
 	s.mu.Lock()
@@ -157,7 +146,7 @@
 	s.mu.Lock()
 	pause := retry.Backoff(attempt, s.random)
 	s.mu.Unlock()
-	wait(ctx, pause)
+	clock.Sleep(ctx, pause)
 }
 
 // refusal is the answer where the scheduler refuses.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -12,6 +12,10 @@
 	"github.com/briarrouter/briarrouter/work"
 )
 
+// NewsTime is how long the news of a quarantine may take to reach a service's
+// standbys.
+const NewsTime = 250 * time.Millisecond
+
 const (
 	// limit is how many different targets a request may end before it is
 	// quarantined: it never runs on a third one.
--- a/router/router.go
+++ b/router/router.go
@@ -9,11 +9,13 @@
 	"sync"
 	"time"
 
+	"github.com/briarrouter/briarrouter/clock"
 	"github.com/briarrouter/briarrouter/configuration"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/kernel"
 	"github.com/briarrouter/briarrouter/ledger"
 	"github.com/briarrouter/briarrouter/outcome"
+	"github.com/briarrouter/briarrouter/quarantine"
 	"github.com/briarrouter/briarrouter/roster"
 	"github.com/briarrouter/briarrouter/steering"
 	"github.com/briarrouter/briarrouter/work"
@@ -268,7 +270,8 @@
 			return r.relayFailed(known, ending)
 		}
 		if known == outcome.Unknown {
-			awaitNews(ctx)
+			// The next daemon must hear whether the request was quarantined.
+			clock.Sleep(ctx, quarantine.NewsTime)
 		}
 	}
 	if known == outcome.NotRun {
@@ -277,19 +280,6 @@
 	return r.relayFailed(known, outcome.Lost)
 }
 
-// newsTime is how long a request whose relay was lost is held back, so that the
-// next daemon hears whether it was quarantined meanwhile.
-const newsTime = 250 * time.Millisecond
-
-func awaitNews(ctx context.Context) {
-	timer := time.NewTimer(newsTime)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // joined returns an answer whose outcome covers the relays before it: a daemon
 // that was lost may have run the request.
 func joined(earlier outcome.Outcome, a work.Answer) work.Answer {
--- a/standin/target.go
+++ b/standin/target.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/briarrouter/briarrouter/clock"
 	"github.com/julienschmidt/httprouter"
 )
 
@@ -144,7 +145,7 @@
 }
 
 func (t *Target) health(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	pause(r.Context(), t.cfg.ProbeCost)
+	clock.Sleep(r.Context(), t.cfg.ProbeCost)
 	if t.draw().draining {
 		w.Header().Set(DrainingField, "yes")
 	}
@@ -184,7 +185,7 @@
 		<-r.Context().Done()
 		return
 	}
-	pause(r.Context(), time.Duration(d.slow*float64(cost(r.Header))))
+	clock.Sleep(r.Context(), time.Duration(d.slow*float64(cost(r.Header))))
 	t.answer(w, r, body, d)
 }
 
@@ -292,18 +293,6 @@
 	return answer
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Control answers whoever runs the trial: GET and PUT of the faults, GET of
 // the runs.
 func (t *Target) Control() http.Handler {
