--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -98,3 +98,15 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// FuzzOwner looks for keys that make the parser fail, or that it takes in two
+// spellings.
+func FuzzOwner(f *testing.F) {
+	f.Add("0000000000000abc-0-x")
+	f.Fuzz(func(t *testing.T, key string) {
+		p, ok := parse(id.Key(key))
+		if ok && !strings.HasPrefix(key, fmt.Sprintf("%s-%d-", p.owner, p.epoch)) {
+			t.Fatalf("%q is taken for owner %s, epoch %d", key, p.owner, p.epoch)
+		}
+	})
+}
