Say 'unknown' where a refused request has a key

Cause: the last reading for a 'not run' without proof. A repeat with a key whose head or body is refused at the front (a bad field, a cut or too large body) was told 'not run', while an earlier arrival with the same key may have run.

Ruled out: asking the owner of the key; the request is not understood, so what it repeats cannot be told.

Measured: TestRefused red before ('not-run'), green after.

Conclusion: only the owner of a key says 'not run' about it.

--- a/caller/request.go
+++ b/caller/request.go
@@ -45,7 +45,7 @@
 func (s *Server) request(w http.ResponseWriter, r *http.Request) {
 	req, err := decode(r, time.Now())
 	if err != nil {
-		s.refuse(w, http.StatusBadRequest, work.BadRequest, err)
+		s.refuse(w, r, http.StatusBadRequest, work.BadRequest, err)
 		return
 	}
 	body, release, err := message.ReadBody(w, r, message.BodyConfig{
@@ -54,10 +54,10 @@
 	defer release()
 	switch {
 	case errors.Is(err, message.ErrTooLarge):
-		s.refuse(w, http.StatusRequestEntityTooLarge, work.RequestTooLarge, err)
+		s.refuse(w, r, http.StatusRequestEntityTooLarge, work.RequestTooLarge, err)
 		return
 	case err != nil:
-		s.refuse(w, http.StatusBadRequest, work.BadRequest, err)
+		s.refuse(w, r, http.StatusBadRequest, work.BadRequest, err)
 		return
 	}
 	req.Body = body
@@ -65,9 +65,13 @@
 }
 
 // refuse answers a request that was understood to be wrong before anything of
-// it was done.
-func (s *Server) refuse(w http.ResponseWriter, status int, reason work.Reason, err error) {
-	answer := work.Refuse(outcome.NotRun, status, reason)
+// it was done. Where it has a key, an earlier arrival with the key may have run.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, status int, reason work.Reason, err error) {
+	known := outcome.NotRun
+	if len(r.Header.Values(KeyField)) > 0 {
+		known = outcome.Unknown
+	}
+	answer := work.Refuse(known, status, reason)
 	answer.Held = append(answer.Held, err.Error()+"\n"...)
 	answer.Size = -1
 	w.Header().Set("Connection", "close")
--- a/caller/request_test.go
+++ b/caller/request_test.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/briarrouter/briarrouter/message"
 	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/require"
 )
@@ -43,6 +45,22 @@
 	return fmt.Sprintf("caller %q key %q %s %s, %s", req.Caller, req.Key, req.Path, left, req.Header)
 }
 
+// TestRefused refuses a wrong request: without a key it did not run; with one,
+// an earlier arrival with the key may have.
+func TestRefused(t *testing.T) {
+	for key, want := range map[string]string{"": "not-run", "0000000000000abc-0-x": "unknown"} {
+		r := httptest.NewRequest(http.MethodPost, "/beds", nil)
+		r.Header.Set(TimeoutField, "soon")
+		if key != "" {
+			r.Header.Set(KeyField, key)
+		}
+		w := httptest.NewRecorder()
+		New(Config{}).request(w, r)
+		require.Equal(t, http.StatusBadRequest, w.Code)
+		require.Equal(t, want, w.Header().Get(message.OutcomeField))
+	}
+}
+
 // FuzzDecode looks for requests that make the decoder fail.
 func FuzzDecode(f *testing.F) {
 	data, err := os.ReadFile("testdata/requests.txt")
