Prepare the core for the users' platform: formats, routes with parts, exact exchanges

Cause: the platform's targets sign answers, echo ids unchanged, answer early, twice, or without a length; its configuration has routes by host and prefix that divide requests by weight. The core knew none of it, and package platform held our own publication format. Ruled out: a client of net/http for targets (silent repeats). Change: package platform is renamed to publication; configuration.Store takes a format; routes have hosts, parts, objectives; exchange skips second answers to earlier requests, reads the answer while a long body is written, heeds Keep-Alive, and takes bodies that end with their connection where allowed. Crossed answers no longer report a status: nobody reads it.

--- a/answers/answers_test.go
+++ b/answers/answers_test.go
@@ -36,7 +36,7 @@
 		return err.Error() + "\n"
 	}
 	docs := q.Derive(1)
-	_, err = configuration.Compose(docs)
+	_, err = configuration.INI{}.Compose(docs)
 	require.NoError(t, err)
 	text := string(docs.Index)
 	for _, name := range slices.Sorted(maps.Keys(docs.Values)) {
--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -23,7 +23,7 @@
 		require.NoError(t, err)
 		q, err := answers.Parse(c.file, data)
 		require.NoError(t, err)
-		snapshot, err := configuration.Compose(q.Derive(1))
+		snapshot, err := configuration.INI{}.Compose(q.Derive(1))
 		require.NoError(t, err)
 		s := q.Services[c.service]
 		b := New(s, snapshot.Services[s.Name])
--- a/command/bench.go
+++ b/command/bench.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return nil, invalid(err)
 	}
-	snapshot, err := configuration.Compose(q.Derive(1))
+	snapshot, err := configuration.INI{}.Compose(q.Derive(1))
 	if err != nil {
 		return nil, invalid(err)
 	}
--- a/command/check.go
+++ b/command/check.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = configuration.Compose(q.Derive(1))
+	_, err = configuration.INI{}.Compose(q.Derive(1))
 	return err
 }
 
@@ -59,6 +59,6 @@
 	if err != nil {
 		return err
 	}
-	_, err = configuration.Compose(docs)
+	_, err = configuration.INI{}.Compose(docs)
 	return err
 }
--- a/command/generate.go
+++ b/command/generate.go
@@ -40,7 +40,7 @@
 		return invalid(err)
 	}
 	docs := q.Derive(number)
-	if _, err := configuration.Compose(docs); err != nil {
+	if _, err := (configuration.INI{}).Compose(docs); err != nil {
 		return invalid(err)
 	}
 	if g.Previous != "" {
--- a/command/layout.go
+++ b/command/layout.go
@@ -9,7 +9,7 @@
 
 	"github.com/briarrouter/briarrouter/answers"
 	"github.com/briarrouter/briarrouter/id"
-	"github.com/briarrouter/briarrouter/platform"
+	"github.com/briarrouter/briarrouter/publication"
 )
 
 // standinLayout is the command that lays out a trial: free ports, the daemons'
@@ -99,7 +99,7 @@
 	return l.files[name]
 }
 
-func (l *layout) value(key platform.Key) *strings.Builder {
+func (l *layout) value(key publication.Key) *strings.Builder {
 	return l.file(filepath.Join("values", filepath.FromSlash(string(key))))
 }
 
@@ -123,14 +123,14 @@
 Hold = 2s
 `, name, domain, callers, peers, operator, l.platform)
 	fmt.Fprintf(l.file("daemons.txt"), "%s %s %s %s\n", name, filepath.Join(l.directory, settings), callers, operator)
-	fmt.Fprintf(l.value(platform.DaemonsKey), "[Daemon %s]\nCallers = %s\nPeers = %s\nFailureDomain = %s\nState = live\n\n", name, callers, peers, domain)
+	fmt.Fprintf(l.value(publication.DaemonsKey), "[Daemon %s]\nCallers = %s\nPeers = %s\nFailureDomain = %s\nState = live\n\n", name, callers, peers, domain)
 }
 
 func (l *layout) target(v answers.Service, i int, domain id.FailureDomain) {
 	name := fmt.Sprintf("%s-%02d", v.Name, i+1)
 	listen, control := l.address(), l.address()
 	fmt.Fprintf(l.file("targets.txt"), "%s %s %s %d\n", name, listen, control, v.RequestsAtOnce)
-	fmt.Fprintf(l.value(platform.TargetsKey(v.Name)), "[Target %s]\nAddress = %s\nFailureDomain = %s\nState = live\n\n", name, listen, domain)
+	fmt.Fprintf(l.value(publication.TargetsKey(v.Name)), "[Target %s]\nAddress = %s\nFailureDomain = %s\nState = live\n\n", name, listen, domain)
 }
 
 func (l *layout) write() error {
--- a/command/scale_test.go
+++ b/command/scale_test.go
@@ -15,7 +15,7 @@
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/kernel"
 	"github.com/briarrouter/briarrouter/peer"
-	"github.com/briarrouter/briarrouter/platform"
+	"github.com/briarrouter/briarrouter/publication"
 	"github.com/briarrouter/briarrouter/roster"
 	"github.com/briarrouter/briarrouter/settings"
 	"github.com/briarrouter/briarrouter/standin"
@@ -39,7 +39,7 @@
 	server := httptest.NewServer(f.platform.Handler())
 	b.Cleanup(server.Close)
 	f.accept(1)
-	f.platform.Put(platform.TargetsKey("beds"), []byte("[Target t1]\nAddress = 127.0.0.1:9\nFailureDomain = Milano\nState = live\n"))
+	f.platform.Put(publication.TargetsKey("beds"), []byte("[Target t1]\nAddress = 127.0.0.1:9\nFailureDomain = Milano\nState = live\n"))
 	var list strings.Builder
 	var all []settings.Daemon
 	for i := range n {
@@ -50,7 +50,7 @@
 		all = append(all, daemon)
 		fmt.Fprintf(&list, "[Daemon %s]\nCallers = %s\nPeers = %s\nFailureDomain = %s\nState = live\n", daemon.Host, daemon.Callers, daemon.Peers, daemon.FailureDomain)
 	}
-	f.platform.Put(platform.DaemonsKey, []byte(list.String()))
+	f.platform.Put(publication.DaemonsKey, []byte(list.String()))
 	for _, daemon := range all {
 		k := newKernel(daemon, zerolog.Nop(), time.Now())
 		require.NoError(b, k.Start(context.Background()))
@@ -68,8 +68,8 @@
 // accept publishes a configuration.
 func (f *scaleFleet) accept(number uint64) {
 	values := map[id.Service][]byte{"beds": []byte(strings.Replace(speedService, "Queue = 1000", fmt.Sprintf("Queue = %d", number), 1))}
-	f.platform.Put(platform.ServiceKey("beds"), values["beds"])
-	f.platform.Put(platform.IndexKey, configuration.EncodeIndex(number, values))
+	f.platform.Put(publication.ServiceKey("beds"), values["beds"])
+	f.platform.Put(publication.IndexKey, configuration.EncodeIndex(number, values))
 }
 
 func (f *scaleFleet) service(k *kernel.Kernel) *peer.Service {
--- a/command/serve.go
+++ b/command/serve.go
@@ -17,7 +17,7 @@
 	"github.com/briarrouter/briarrouter/metric"
 	"github.com/briarrouter/briarrouter/operator"
 	"github.com/briarrouter/briarrouter/peer"
-	"github.com/briarrouter/briarrouter/platform"
+	"github.com/briarrouter/briarrouter/publication"
 	"github.com/briarrouter/briarrouter/roster"
 	"github.com/briarrouter/briarrouter/router"
 	"github.com/briarrouter/briarrouter/settings"
@@ -74,14 +74,14 @@
 	k := kernel.New()
 	k.Register(metric.ServiceName, metrics)
 	k.Register(operator.ServiceName, operator.New(operator.Config{Address: daemon.Operator, Log: log}))
-	k.Register(configuration.ServiceName, configuration.NewStore(log))
+	k.Register(configuration.ServiceName, configuration.NewStore(configuration.StoreConfig{Log: log}))
 	k.Register(dispatch.ServiceName, dispatch.New(dispatch.Config{
 		Log: log, Scope: scope, Memory: gate, AnswerBuffer: daemon.Limits.AnswerBuffer, Seed: seed,
 	}))
 	k.Register(peer.ServiceName, peer.New(peer.Config{
 		Self: self, Limits: daemon.Limits, Timing: daemon.Timing, Memory: gate, Scope: scope, Log: log, Seed: seed,
 	}))
-	k.Register(platform.ServiceName, platform.NewReader(platform.Config{Addresses: daemon.Platform, Log: log}))
+	k.Register(publication.ServiceName, publication.NewReader(publication.Config{Addresses: daemon.Platform, Log: log}))
 	k.Register(router.ServiceName, router.New(router.Config{
 		Ledger: ledger.Config{
 			Incarnation: self.Incarnation, Start: now, Epoch: daemon.Timing.Epoch,
--- a/command/speed_test.go
+++ b/command/speed_test.go
@@ -16,7 +16,7 @@
 	"github.com/briarrouter/briarrouter/configuration"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/kernel"
-	"github.com/briarrouter/briarrouter/platform"
+	"github.com/briarrouter/briarrouter/publication"
 	"github.com/briarrouter/briarrouter/settings"
 	"github.com/briarrouter/briarrouter/standin"
 	"github.com/rs/zerolog"
@@ -63,10 +63,10 @@
 	published := httptest.NewServer(p.Handler())
 	b.Cleanup(published.Close)
 	values := map[id.Service][]byte{"beds": []byte(speedService)}
-	p.Put(platform.ServiceKey("beds"), values["beds"])
-	p.Put(platform.TargetsKey("beds"), fmt.Appendf(nil, "[Target t1]\nAddress = %s\nFailureDomain = Milano\nState = live\n", target.Listener.Addr()))
-	p.Put(platform.DaemonsKey, []byte(""))
-	p.Put(platform.IndexKey, configuration.EncodeIndex(1, values))
+	p.Put(publication.ServiceKey("beds"), values["beds"])
+	p.Put(publication.TargetsKey("beds"), fmt.Appendf(nil, "[Target t1]\nAddress = %s\nFailureDomain = Milano\nState = live\n", target.Listener.Addr()))
+	p.Put(publication.DaemonsKey, []byte(""))
+	p.Put(publication.IndexKey, configuration.EncodeIndex(1, values))
 	text := fmt.Sprintf("[Host]\nName = h\nFailureDomain = Milano\n[Listen]\nCallers = %s\nPeers = %s\nOperator = %s\n[Platform]\nAddresses = %s\n[Timing]\nJoin = 100ms\nHold = 1s\n",
 		freeAddress(b), freeAddress(b), freeAddress(b), published.Listener.Addr())
 	daemon, err := settings.Parse("speed", []byte(text))
--- a/configuration/benchmark_test.go
+++ b/configuration/benchmark_test.go
@@ -44,7 +44,7 @@
 	var s *Snapshot
 	for b.Loop() {
 		var err error
-		s, err = Compose(docs)
+		s, err = INI{}.Compose(docs)
 		require.NoError(b, err)
 	}
 	b.ReportMetric(float64(heap()-before)/(1<<20), "MiB")
--- a/configuration/configuration_test.go
+++ b/configuration/configuration_test.go
@@ -68,7 +68,7 @@
 	orders := map[string][]int{"in order": {0, 1, 2, 3, 4, 5, 6, 7, 8}, "rival first": {4, 1, 0, 4, 1}}
 	var b strings.Builder
 	for _, order := range []string{"in order", "rival first"} {
-		s := NewStore(zerolog.Nop())
+		s := NewStore(StoreConfig{Log: zerolog.Nop()})
 		for _, i := range orders[order] {
 			verdict := s.Offer(offers[i].docs, "test")
 			fmt.Fprintf(&b, "%s: %s: %s, in force %s\n", order, offers[i].name, verdict, s.Version())
@@ -80,7 +80,7 @@
 
 // TestMatch shows which route a path leads to.
 func TestMatch(t *testing.T) {
-	s, err := Compose(documents(t, 1, "testdata/good.ini"))
+	s, err := INI{}.Compose(documents(t, 1, "testdata/good.ini"))
 	require.NoError(t, err)
 	var b strings.Builder
 	for _, line := range []string{
@@ -88,7 +88,7 @@
 		"POST /beds/7/photos/1", "DELETE /beds", "GET /", "GET /other",
 	} {
 		method, path, _ := strings.Cut(line, " ")
-		m, ok := s.Match(method, path)
+		m, ok := s.Match("", method, path)
 		if !ok {
 			fmt.Fprintln(&b, line, "-> no route")
 			continue
--- a/configuration/service.go
+++ b/configuration/service.go
@@ -28,9 +28,16 @@
 	Queue int
 	// RetryShare is how many retries may be made for each first attempt.
 	RetryShare unit.Ratio
+	// RetryBurst is how many retries may follow each other beyond RetryShare;
+	// zero stands for the default of package retry.
+	RetryBurst float64
 	// Attempts bounds the attempts of one idempotent request; at least 1.
 	Attempts int
-	// Evidence is the log-likelihood ratio at which a target is ejected.
+	// Avoidance is how many taken slots the certainty that a target fails
+	// weighs when targets are ranked; zero ranks by load alone.
+	Avoidance float64
+	// Evidence is the log-likelihood ratio at which a target is ejected; zero
+	// ejects none.
 	Evidence float64
 	// FirstEjection is how long the first ejection of a target lasts. Each
 	// further one within EjectionMemory lasts twice as long.
@@ -46,7 +53,8 @@
 
 // Probe is how the health of a target is asked for.
 type Probe struct {
-	Path    string
+	Path string
+	// Every is the time between two probes; zero for none.
 	Every   time.Duration
 	Timeout time.Duration
 }
@@ -59,18 +67,45 @@
 	// NotRunHeader must stand in such an answer, with any value. Empty where
 	// the status alone is proof.
 	NotRunHeader string
+	// NotRunAnyStatus tells that NotRunHeader is proof beside any status;
+	// NotRunStatus is ignored then.
+	NotRunAnyStatus bool
+	// MisdirectedStatus is the status of a process that is not the target named
+	// in TargetHeader and ran nothing; zero where there is none.
+	MisdirectedStatus int
 	// DrainHeader stands in any answer of a target that is leaving.
 	DrainHeader string
 	// EchoHeader repeats the request id in every answer; empty where targets
 	// do not echo it.
 	EchoHeader string
+	// EchoVerbatim tells that the id must reach targets as it came, without
+	// the number of the attempt.
+	EchoVerbatim bool
 	// DeadlineHeader carries the milliseconds that remain to the target.
 	DeadlineHeader string
+	// TargetHeader names the target that is meant, so that another process at
+	// its address declines; empty where targets do not look at it.
+	TargetHeader string
+	// SignatureHeader stands in every answer of a target that succeeded; empty
+	// where targets do not sign.
+	SignatureHeader string
+	// LoadHeader gives the requests that run and wait at a target and its
+	// slots, separated by commas; empty where targets do not tell.
+	LoadHeader string
+	// Unframed tells that a body may end with its connection. A connection that
+	// was closed in order is then the end, one that was reset a cut.
+	Unframed bool
+	// RetryFailures tells that a failure that a target answered leads to
+	// another attempt where the request is idempotent.
+	RetryFailures bool
 }
 
 // Route is one kind of request.
 type Route struct {
-	Name   id.Route
+	Name id.Route
+	// Host is the host that the request must name; empty for any.
+	Host string
+	// Method is empty for any.
 	Method string
 	// Path is a prefix that ends at a slash or at the end of a path.
 	Path string
@@ -80,6 +115,26 @@
 	Long bool
 	// Timeout is the time that a request may take where its caller names none.
 	Timeout time.Duration
+	// TimeoutBinds tells that Timeout also bounds the time that a caller names.
+	TimeoutBinds bool
+	// Objective is the time within which an answer is of full use; zero where
+	// none is stated.
+	Objective time.Duration
+	// Priority orders requests that wait; 0 goes first.
+	Priority int
+	// Attempts bounds the attempts of one request; zero where the service's
+	// bound holds.
+	Attempts int
+	// Parts divides the requests among services; empty where the route belongs
+	// to one service.
+	Parts []Part
+}
+
+// Part is the share of a route's requests that one service gets.
+type Part struct {
+	Service id.Service
+	// Weight is the part's share of the sum of all weights; at least 1.
+	Weight int
 }
 
 const (
--- a/configuration/snapshot.go
+++ b/configuration/snapshot.go
@@ -8,9 +8,11 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/inifile"
+	"github.com/briarrouter/briarrouter/unit"
 )
 
 // Documents is a configuration as it is published: the index, and the value of
@@ -25,17 +27,20 @@
 	Version   id.ConfigVersion
 	Services  map[id.Service]*Service
 	Documents Documents
-	routes    map[routeKey]Match
+	// Limits bounds what callers may send; zero fields leave it to the
+	// settings.
+	Limits Limits
+	routes table
 }
 
-// Match is a route and the service that it leads to.
-type Match struct {
-	Service *Service
-	Route   *Route
+// Limits bounds what a caller may send and how long it may take.
+type Limits struct {
+	Header      unit.Bytes
+	Body        unit.Bytes
+	HeadTimeout time.Duration
+	IdleTimeout time.Duration
 }
 
-type routeKey struct{ method, path string }
-
 // Index is the head of a configuration.
 type Index struct {
 	Version id.ConfigVersion
@@ -77,9 +82,12 @@
 	return []byte(b.String())
 }
 
+// INI is the project's own format: an index and a value for each service.
+type INI struct{}
+
 // Compose checks the documents and makes a snapshot of them. It refuses them
 // as a whole: a snapshot is never made of a part.
-func Compose(docs Documents) (*Snapshot, error) {
+func (INI) Compose(docs Documents) (*Snapshot, error) {
 	index, err := ParseIndex(docs.Index)
 	if err != nil {
 		return nil, err
@@ -88,7 +96,7 @@
 		Version:   index.Version,
 		Services:  make(map[id.Service]*Service),
 		Documents: docs,
-		routes:    make(map[routeKey]Match),
+		routes:    newTable(),
 	}
 	var errs []error
 	for _, name := range slices.Sorted(maps.Keys(index.Digests)) {
@@ -124,32 +132,24 @@
 }
 
 func (s *Snapshot) addRoute(v *Service, r *Route) error {
-	key := routeKey{r.Method, trimSlash(r.Path)}
-	if other, taken := s.routes[key]; taken {
+	m := Match{Service: v, Route: r}
+	if other, taken := s.routes.add(m, strings.TrimRight(r.Path, "/")); taken {
 		return fmt.Errorf("service %s: [Route %s] and [Route %s] of service %s have the same method and path; accepted: one route for each",
 			v.Name, r.Name, other.Route.Name, other.Service.Name)
 	}
-	s.routes[key] = Match{Service: v, Route: r}
+	s.routes.add(m, strings.TrimRight(r.Path, "/")+"/")
 	return nil
 }
 
-// Match finds the route with the longest path that leads to the given one.
-func (s *Snapshot) Match(method, path string) (Match, bool) {
-	for path = trimSlash(path); ; path = path[:strings.LastIndexByte(path, '/')] {
-		if m, ok := s.routes[routeKey{method, path}]; ok {
-			return m, true
-		}
-		if !strings.Contains(path, "/") {
-			return Match{}, false
-		}
-	}
+// Match finds the route of a host with the longest path that leads to the
+// given one.
+func (s *Snapshot) Match(host, method, path string) (Match, bool) {
+	return s.routes.find(host, method, path)
 }
 
-func trimSlash(path string) string { return strings.TrimRight(path, "/") }
-
 // Collect gathers the documents of an index. Values that a snapshot already
 // holds under the same digest are taken from it; the others are asked for.
-func Collect(index []byte, have *Snapshot, get func(id.Service) ([]byte, error)) (Documents, error) {
+func (INI) Collect(index []byte, have *Snapshot, get func(id.Service) ([]byte, error)) (Documents, error) {
 	parsed, err := ParseIndex(index)
 	if err != nil {
 		return Documents{}, err
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -12,10 +12,24 @@
 // ServiceName is the name of the Store in the kernel.
 const ServiceName kernel.Name = "configuration"
 
+// format reads configurations as they are published.
+type format interface {
+	Compose(docs Documents) (*Snapshot, error)
+	Collect(index []byte, have *Snapshot, get func(id.Service) ([]byte, error)) (Documents, error)
+}
+
+// StoreConfig makes a Store.
+type StoreConfig struct {
+	Log zerolog.Logger
+	// Format is INI where it is nil.
+	Format format
+}
+
 // Store holds the configuration in force. It starts empty and never goes back
 // to an earlier version.
 type Store struct {
 	log     zerolog.Logger
+	format  format
 	current atomic.Pointer[Snapshot]
 	refused atomic.Pointer[Refusal]
 	// conflicts counts offers whose number was in force with other contents.
@@ -29,7 +43,12 @@
 }
 
 // NewStore returns an empty store.
-func NewStore(log zerolog.Logger) *Store { return &Store{log: log} }
+func NewStore(cfg StoreConfig) *Store {
+	if cfg.Format == nil {
+		cfg.Format = INI{}
+	}
+	return &Store{log: cfg.Log, format: cfg.Format}
+}
 
 // Start does nothing: the store has no work of its own.
 func (s *Store) Start(context.Context, *kernel.Kernel) error { return nil }
@@ -48,10 +67,15 @@
 	return id.ConfigVersion{}
 }
 
+// Collect gathers the documents of an index, as the store's format has them.
+func (s *Store) Collect(index []byte, get func(id.Service) ([]byte, error)) (Documents, error) {
+	return s.format.Collect(index, s.Current(), get)
+}
+
 // Offer puts the documents in force if they are whole and newer than what is
 // in force. The source is named in the log.
 func (s *Store) Offer(docs Documents, source string) Verdict {
-	next, err := Compose(docs)
+	next, err := s.format.Compose(docs)
 	if err != nil {
 		s.refused.Store(&Refusal{Source: source, Reason: err.Error()})
 		s.log.Error().Str("Source", source).Err(err).Msg("configuration refused")
--- /dev/null
+++ b/configuration/table.go
@@ -0,0 +1,137 @@
+package configuration
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/briarrouter/briarrouter/id"
+)
+
+// Match is a route and the service that it leads to.
+type Match struct {
+	// Service is nil until Pick where the route has parts.
+	Service *Service
+	Route   *Route
+	// parts gives the services of the route's parts, in their order.
+	parts []*Service
+}
+
+// Pick chooses the part of the route that a request goes to. The draw is even
+// between 0 and 1. A part that is short of room keeps its share: what it cannot
+// take is refused rather than moved, since the weights are the operator's.
+func (m Match) Pick(draw float64) Match {
+	if len(m.parts) == 0 {
+		return m
+	}
+	total := 0
+	for _, p := range m.Route.Parts {
+		total += p.Weight
+	}
+	left := draw * float64(total)
+	for i, p := range m.Route.Parts {
+		m.Service = m.parts[i]
+		if left -= float64(p.Weight); left < 0 {
+			break
+		}
+	}
+	return m
+}
+
+type routeKey struct{ host, method, path string }
+
+// table finds routes by host, method and path.
+type table struct {
+	routes map[routeKey]Match
+	// hosts names the hosts with routes of their own.
+	hosts map[string]bool
+}
+
+func newTable() table {
+	return table{routes: make(map[routeKey]Match), hosts: make(map[string]bool)}
+}
+
+// add gives a route a path. A path that ends with a slash leads all paths below
+// it to the route, any other one only itself. The route that has the path
+// already stays and is returned.
+func (t table) add(m Match, path string) (Match, bool) {
+	key := routeKey{m.Route.Host, m.Route.Method, path}
+	if other, taken := t.routes[key]; taken {
+		return other, true
+	}
+	t.routes[key] = m
+	t.hosts[m.Route.Host] = true
+	return Match{}, false
+}
+
+func (t table) find(host, method, path string) (Match, bool) {
+	if !t.hosts[host] {
+		host = ""
+	}
+	for {
+		for _, m := range [...]string{method, ""} {
+			if found, ok := t.routes[routeKey{host, m, path}]; ok {
+				return found, true
+			}
+		}
+		end := strings.LastIndexByte(strings.TrimSuffix(path, "/"), '/')
+		if end < 0 {
+			return Match{}, false
+		}
+		path = path[:end+1]
+	}
+}
+
+// Draft is a configuration that another format described.
+type Draft struct {
+	Version   id.ConfigVersion
+	Documents Documents
+	Limits    Limits
+	Services  []*Service
+	// Routes holds routes with a host and parts. Their paths end with a slash.
+	Routes []Route
+}
+
+// NewSnapshot checks a draft and makes a snapshot of it. It refuses it as a
+// whole.
+func NewSnapshot(d Draft) (*Snapshot, error) {
+	s := &Snapshot{Version: d.Version, Documents: d.Documents, Limits: d.Limits, Services: make(map[id.Service]*Service), routes: newTable()}
+	for _, v := range d.Services {
+		if s.Services[v.Name] != nil {
+			return nil, fmt.Errorf("service %s is described twice; accepted: one description each", v.Name)
+		}
+		s.Services[v.Name] = v
+	}
+	var errs []error
+	for i := range d.Routes {
+		errs = append(errs, s.addParts(&d.Routes[i]))
+	}
+	if err := errors.Join(errs...); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Snapshot) addParts(r *Route) error {
+	if !strings.HasPrefix(r.Path, "/") || !strings.HasSuffix(r.Path, "/") {
+		return fmt.Errorf("route %s: bad path %q; accepted: a path that starts and ends with a slash", r.Name, r.Path)
+	}
+	m := Match{Route: r}
+	for _, p := range r.Parts {
+		v := s.Services[p.Service]
+		if v == nil {
+			return fmt.Errorf("route %s: no service %q is described", r.Name, p.Service)
+		}
+		if p.Weight < 1 {
+			return fmt.Errorf("route %s: service %s has weight %d; accepted: at least 1", r.Name, p.Service, p.Weight)
+		}
+		m.parts = append(m.parts, v)
+	}
+	if len(m.parts) == 0 {
+		return fmt.Errorf("route %s leads to no service", r.Name)
+	}
+	if other, taken := s.routes.add(m, r.Path); taken {
+		return fmt.Errorf("routes %s and %s have the same host and path; accepted: one route for each", r.Name, other.Route.Name)
+	}
+	return nil
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -81,7 +81,7 @@
 // Start finds the lists of targets and the policies.
 func (d *Dispatcher) Start(_ context.Context, k *kernel.Kernel) error {
 	var err error
-	if d.lists, err = kernel.Find[targetLists](k, "platform"); err != nil {
+	if d.lists, err = kernel.Find[targetLists](k, "targets"); err != nil {
 		return err
 	}
 	if d.policies, err = kernel.Find[policies](k, configuration.ServiceName); err != nil {
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -9,6 +9,11 @@
 	"io"
 	"math"
 	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,13 +26,23 @@
 	net.Conn
 	reader *bufio.Reader
 	// written counts the bytes that the current exchange handed over.
-	written int64
+	written atomic.Int64
 	// readLimit is how many bytes may still be read.
 	readLimit int64
 	// idleSince is when the last exchange ended; zero on a new connection.
 	idleSince time.Time
+	// idleLimit is how long the other side said that it keeps the connection
+	// idle; zero where it did not say.
+	idleLimit time.Duration
+	// echoes holds the ids of the last requests that were answered, at most
+	// maxEchoes.
+	echoes []string
 }
 
+// maxEchoes is how many earlier requests of a connection may be answered once
+// more; each answer that is skipped closes the connection at the end.
+const maxEchoes = 4
+
 var errHeadTooLarge = errors.New("head of the answer is too large")
 
 func newConn(nc net.Conn) *conn {
@@ -55,19 +70,55 @@
 // Write counts the bytes that the kernel took.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.written += int64(n)
+	c.written.Add(int64(n))
 	return n, err
 }
 
+// answered notes that the request with the id was answered.
+func (c *conn) answered(echo string) {
+	if echo == "" {
+		return
+	}
+	if len(c.echoes) == maxEchoes {
+		c.echoes = append(c.echoes[:0], c.echoes[1:]...)
+	}
+	c.echoes = append(c.echoes, echo)
+}
+
+func (c *conn) answeredBefore(echo string) bool { return slices.Contains(c.echoes, echo) }
+
 // begin prepares the connection for an exchange.
 func (c *conn) begin(headLimit unit.Bytes) {
-	c.written = 0
+	c.written.Store(0)
 	c.readLimit = int64(headLimit)
 }
 
 // headDone lifts the limit: the body has limits of its own.
 func (c *conn) headDone() { c.readLimit = math.MaxInt64 }
 
+// keepMargin is how much sooner than the other side a connection is given up:
+// a request on its way must arrive before the other side closes.
+const keepMargin = time.Second
+
+// keep takes the time from the Keep-Alive field of an answer (RFC 2068, 19.7.1).
+func (c *conn) keep(h http.Header) {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if seconds, err := strconv.Atoi(value); err == nil && name == "timeout" && seconds >= 0 {
+			c.idleLimit = max(0, time.Duration(seconds)*time.Second-keepMargin)
+		}
+	}
+}
+
+// fresh tells whether the connection was idle for no longer than the limit and
+// than the other side allows.
+func (c *conn) fresh(limit time.Duration) bool {
+	if c.idleLimit > 0 {
+		limit = min(limit, c.idleLimit)
+	}
+	return time.Since(c.idleSince) <= limit
+}
+
 // interrupt makes every read and write of the connection fail now.
 func (c *conn) interrupt() { c.SetDeadline(time.Unix(1, 0)) }
 
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -1,14 +1,11 @@
 package exchange
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"net/http"
-	"net/url"
 	"slices"
 	"time"
 
@@ -32,6 +29,11 @@
 	// answers carry no such field.
 	EchoHeader string
 	Echo       string
+	// Unframed allows an answer whose body ends with its connection.
+	Unframed bool
+	// SignatureHeader is a field that every answer of success must carry; empty
+	// where answers carry no such field.
+	SignatureHeader string
 }
 
 // Reply is how the exchange ended.
@@ -109,34 +111,43 @@
 func (x *running) run(call Call) Reply {
 	x.conn.begin(x.pool.cfg.HeadLimit)
 	started := time.Now()
-	body := &callerBody{}
-	writeErr := x.write(call, body)
-	if writeErr != nil && x.conn.written == 0 {
-		return failed(outcome.NotWritten, writeErr)
+	send := newSender(x.conn, call)
+	send.start()
+	if err := send.finished(); err != nil && x.conn.written.Load() == 0 {
+		return failed(outcome.NotWritten, err)
 	}
-	if body.err != nil {
-		return failed(outcome.BodyFailed, body.err)
+	// A target may answer before it took the whole body, or answer and close,
+	// so the answer is looked for even after a failed write.
+	resp, err := x.readHead(call)
+	early := send.end()
+	if send.body.err != nil {
+		return failed(outcome.BodyFailed, send.body.err)
 	}
-	// A target may answer and close before it took the whole body, so the
-	// answer is looked for even after a failed write.
-	resp, err := x.readHead()
 	if err != nil {
-		return x.noHead(writeErr, err)
+		return x.noHead(send.err, err)
 	}
 	x.conn.headDone()
+	x.conn.answered(call.Echo)
 	reply := Reply{Status: resp.StatusCode, Header: resp.Header, Size: unit.Bytes(resp.ContentLength), ToHead: time.Since(started)}
-	x.close = resp.Close || writeErr != nil
-	if x.method != http.MethodHead && !framed(resp) {
+	x.close = x.close || resp.Close || early || send.err != nil
+	x.conn.keep(resp.Header)
+	if x.method != http.MethodHead && !framed(resp) && !call.Unframed {
 		reply.Ending, reply.Err = outcome.Malformed, errUnframed
 		return reply
 	}
-	if call.EchoHeader != "" && resp.Header.Get(call.EchoHeader) != call.Echo {
-		reply.Ending, reply.Err = outcome.Crossed, errCrossed
+	if call.SignatureHeader != "" && success(resp.StatusCode) && resp.Header.Get(call.SignatureHeader) == "" {
+		reply.Ending, reply.Err = outcome.Malformed, errUnsigned
 		return reply
 	}
 	return x.readBody(resp, reply)
 }
 
+var errUnsigned = errors.New("answer of success lacks the signature of its target")
+
+func success(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 var errCrossed = errors.New("answer carries the id of another request")
 
 var errUnframed = errors.New("answer has neither a length nor chunks, so its end cannot be told from a cut")
@@ -147,47 +158,33 @@
 	return resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
 }
 
-// callerBody remembers an error of the caller's body, to tell it from one of
-// the connection.
-type callerBody struct {
-	io.Reader
-	err error
-}
-
-func (b *callerBody) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p)
-	if err != nil && err != io.EOF {
-		b.err = err
-	}
-	return n, err
-}
+// maxInformational bounds the 1xx answers before the final one.
+const maxInformational = 5
 
-func (x *running) write(call Call, body *callerBody) error {
-	req := &http.Request{
-		Method: call.Method,
-		URL:    &url.URL{Opaque: call.URI},
-		Host:   call.Host,
-		Header: make(http.Header, len(call.Header)+1),
-	}
-	// Without an empty field the library would add a User-Agent of its own.
-	req.Header["User-Agent"] = []string{""}
-	maps.Copy(req.Header, call.Header)
-	switch {
-	case call.Body.Rest != nil:
-		body.Reader = io.MultiReader(bytes.NewReader(call.Body.Held), call.Body.Rest)
-		req.Body = io.NopCloser(body)
-		req.ContentLength = int64(call.Body.Size)
-	case len(call.Body.Held) > 0:
-		req.Body = io.NopCloser(bytes.NewReader(call.Body.Held))
-		req.ContentLength = int64(len(call.Body.Held))
+// readHead reads the head of the final answer. Second answers to earlier
+// requests of the connection, which may arrive late, are skipped.
+func (x *running) readHead(call Call) (*http.Response, error) {
+	for {
+		resp, err := x.readFinal()
+		if err != nil || call.EchoHeader == "" {
+			return resp, err
+		}
+		echo := resp.Header.Get(call.EchoHeader)
+		switch {
+		case echo == call.Echo, echo == "" && !success(resp.StatusCode):
+			// A target that declines before it looks at the request names none.
+			return resp, nil
+		case !x.conn.answeredBefore(echo) || !framed(resp):
+			return nil, errCrossed
+		}
+		x.close = true
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return nil, err
+		}
 	}
-	return req.Write(x.conn)
 }
 
-// maxInformational bounds the 1xx answers before the final one.
-const maxInformational = 5
-
-func (x *running) readHead() (*http.Response, error) {
+func (x *running) readFinal() (*http.Response, error) {
 	for range maxInformational {
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.method})
 		if err != nil {
@@ -221,6 +218,9 @@
 	if writeErr != nil {
 		return failed(outcome.WriteFailed, writeErr)
 	}
+	if errors.Is(readErr, errCrossed) {
+		return failed(outcome.Crossed, readErr)
+	}
 	if lostConnection(readErr) {
 		return failed(outcome.Lost, readErr)
 	}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -115,7 +116,8 @@
 }
 
 // call takes the method and options: body=TEXT, rest=TEXT for a part that can
-// be read once, echo=ID, timeout=SPAN, cancel=SPAN, idle=SPAN.
+// be read once, echo=ID, timeout=SPAN, cancel=SPAN, idle=SPAN, unframed, signed,
+// long for a body that is written beside the reading of the answer.
 func (s *script) call(method string, options []string) string {
 	call := Call{Method: method, URI: "/x?y=1", Host: "host", MaxIdle: time.Minute}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -139,6 +141,12 @@
 			time.AfterFunc(span, cancel)
 		case "idle":
 			call.MaxIdle = span
+		case "unframed":
+			call.Unframed = true
+		case "signed":
+			call.SignatureHeader = "X-Signature"
+		case "long":
+			call.Body = work.Body{Held: bytes.Repeat([]byte("x"), 2*int(inlineBody)), Size: 2 * inlineBody}
 		}
 	}
 	s.last = s.pool.Do(ctx, call)
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -65,7 +65,7 @@
 		if c == nil {
 			return p.dial(ctx)
 		}
-		if time.Since(c.idleSince) <= maxIdle && c.alive() == nil {
+		if c.fresh(maxIdle) && c.alive() == nil {
 			return c, nil
 		}
 		p.discard(c)
--- a/peer/link.go
+++ b/peer/link.go
@@ -224,7 +224,7 @@
 		d, err := l.client.Value(ctx, &peerpb.ValueRequest{Service: string(name)})
 		return d.GetData(), err
 	}
-	docs, err := configuration.Collect(index.GetData(), s.store.Current(), get)
+	docs, err := s.store.Collect(index.GetData(), get)
 	if err != nil {
 		s.cfg.Log.Warn().Str("Peer", string(l.host)).Err(err).Msg("configuration of a peer cannot be read")
 		return
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -37,6 +37,7 @@
 type store interface {
 	Current() *configuration.Snapshot
 	Version() id.ConfigVersion
+	Collect(index []byte, get func(id.Service) ([]byte, error)) (configuration.Documents, error)
 	Offer(docs configuration.Documents, source string) configuration.Verdict
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -88,7 +88,7 @@
 
 // Targets returns the last list of a service's targets.
 func (s server) Targets(_ context.Context, r *peerpb.ValueRequest) (*peerpb.Document, error) {
-	lists, err := kernel.Find[targetLists](s.kernel, "platform")
+	lists, err := kernel.Find[targetLists](s.kernel, "targets")
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
 	}
--- a/platform/client.go
+++ b/publication/client.go
@@ -1,7 +1,7 @@
-// Package platform reads the configuration and the host lists that the
+// Package publication reads the configuration and the host lists that the
 // platform publishes. It never writes. The protocol is HTTP with conditional
 // requests (RFC 9110) and the Prefer: wait preference (RFC 7240).
-package platform
+package publication
 
 import (
 	"context"
@@ -50,7 +50,7 @@
 
 // ErrUnchanged means that a watched value did not change while it was waited
 // for.
-var ErrUnchanged = errors.New("platform: value is unchanged")
+var ErrUnchanged = errors.New("publication: value is unchanged")
 
 // Value is one version of a value.
 type Value struct {
@@ -102,7 +102,7 @@
 	address := c.addresses[c.next.Load()%uint64(len(c.addresses))]
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(address)+ValuesPath+string(key), nil)
 	if err != nil {
-		return Value{}, fmt.Errorf("platform: %w", err)
+		return Value{}, fmt.Errorf("publication: %w", err)
 	}
 	if tag != "" {
 		req.Header.Set("If-None-Match", tag)
@@ -110,7 +110,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return Value{}, fmt.Errorf("platform: %w", err)
+		return Value{}, fmt.Errorf("publication: %w", err)
 	}
 	defer resp.Body.Close()
 	switch resp.StatusCode {
@@ -119,17 +119,17 @@
 	case http.StatusNotModified:
 		return Value{}, ErrUnchanged
 	default:
-		return Value{}, fmt.Errorf("platform: %s answered status %d", key, resp.StatusCode)
+		return Value{}, fmt.Errorf("publication: %s answered status %d", key, resp.StatusCode)
 	}
 }
 
 func readValue(resp *http.Response) (Value, error) {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, int64(MaxValue)+1))
 	if err != nil {
-		return Value{}, fmt.Errorf("platform: %w", err)
+		return Value{}, fmt.Errorf("publication: %w", err)
 	}
 	if unit.Bytes(len(data)) > MaxValue {
-		return Value{}, fmt.Errorf("platform: value is larger than %s", MaxValue)
+		return Value{}, fmt.Errorf("publication: value is larger than %s", MaxValue)
 	}
 	return Value{Data: data, Tag: resp.Header.Get("ETag")}, nil
 }
--- a/platform/hosts_test.go
+++ b/publication/hosts_test.go
@@ -1,4 +1,4 @@
-package platform
+package publication
 
 import (
 	"fmt"
--- a/platform/reader.go
+++ b/publication/reader.go
@@ -1,4 +1,4 @@
-package platform
+package publication
 
 import (
 	"context"
@@ -16,11 +16,11 @@
 )
 
 // ServiceName is the name of the Reader in the kernel.
-const ServiceName kernel.Name = "platform"
+const ServiceName kernel.Name = "targets"
 
 // store is where configurations go.
 type store interface {
-	Current() *configuration.Snapshot
+	Collect(index []byte, get func(id.Service) ([]byte, error)) (configuration.Documents, error)
 	Offer(docs configuration.Documents, source string) configuration.Verdict
 }
 
@@ -84,7 +84,7 @@
 		v, err := r.client.Get(ctx, ServiceKey(s))
 		return v.Data, err
 	}
-	docs, err := configuration.Collect(data, r.store.Current(), get)
+	docs, err := r.store.Collect(data, get)
 	if err != nil {
 		r.log.Error().Err(err).Msg("configuration cannot be read")
 		return err
--- a/router/router.go
+++ b/router/router.go
@@ -149,7 +149,7 @@
 	if snapshot == nil {
 		return r.refuse(req, purpose, http.StatusServiceUnavailable, work.NoConfiguration)
 	}
-	m, ok := snapshot.Match(req.Method, req.Path)
+	m, ok := snapshot.Match(req.Host, req.Method, req.Path)
 	if !ok {
 		return r.refuse(req, purpose, http.StatusNotFound, work.NoRoute)
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -50,7 +50,7 @@
 
 func snapshot(t *testing.T) *configuration.Snapshot {
 	values := map[id.Service][]byte{"beds": []byte(value)}
-	s, err := configuration.Compose(configuration.Documents{Index: configuration.EncodeIndex(1, values), Values: values})
+	s, err := configuration.INI{}.Compose(configuration.Documents{Index: configuration.EncodeIndex(1, values), Values: values})
 	require.NoError(t, err)
 	return s
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/briarrouter/briarrouter/configuration"
-	"github.com/briarrouter/briarrouter/platform"
+	"github.com/briarrouter/briarrouter/publication"
 	"github.com/julienschmidt/httprouter"
 	"golang.org/x/time/rate"
 )
@@ -37,7 +37,7 @@
 
 	mu sync.Mutex
 	// versions holds every version of each value, the newest last.
-	versions map[platform.Key][]version
+	versions map[publication.Key][]version
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	down    bool
@@ -51,13 +51,13 @@
 func NewPlatform(cfg PlatformConfig) *Platform {
 	return &Platform{
 		limiter:  rate.NewLimiter(rate.Limit(cfg.Rate), cfg.Rate),
-		versions: make(map[platform.Key][]version),
+		versions: make(map[publication.Key][]version),
 		changed:  make(chan struct{}),
 	}
 }
 
 // Put publishes a version of a value.
-func (p *Platform) Put(key platform.Key, data []byte) {
+func (p *Platform) Put(key publication.Key, data []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.versions[key]
@@ -73,7 +73,7 @@
 
 // read returns the version that readers see now, and the channel that is
 // closed at the next change.
-func (p *Platform) read(key platform.Key) (v version, ok bool, changed chan struct{}) {
+func (p *Platform) read(key publication.Key) (v version, ok bool, changed chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.versions[key]
@@ -86,7 +86,7 @@
 // Handler answers readers.
 func (p *Platform) Handler() http.Handler {
 	r := httprouter.New()
-	r.GET(platform.ValuesPath+"*key", p.get)
+	r.GET(publication.ValuesPath+"*key", p.get)
 	return r
 }
 
@@ -95,7 +95,7 @@
 		http.Error(w, http.StatusText(status), status)
 		return
 	}
-	key := platform.Key(strings.TrimPrefix(params.ByName("key"), "/"))
+	key := publication.Key(strings.TrimPrefix(params.ByName("key"), "/"))
 	ctx, cancel := context.WithTimeout(r.Context(), preferredWait(r.Header))
 	defer cancel()
 	for {
@@ -156,7 +156,7 @@
 // and DELETE of the faults down and stale, GET of the counts.
 func (p *Platform) Control() http.Handler {
 	r := httprouter.New()
-	r.PUT(platform.ValuesPath+"*key", p.put)
+	r.PUT(publication.ValuesPath+"*key", p.put)
 	r.PUT("/faults/:fault", p.switchFault)
 	r.DELETE("/faults/:fault", p.switchFault)
 	r.GET("/counts", p.counts)
@@ -164,12 +164,12 @@
 }
 
 func (p *Platform) put(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, int64(platform.MaxValue)+1))
-	if err != nil || len(data) > int(platform.MaxValue) {
-		http.Error(w, "a value must be at most "+platform.MaxValue.String(), http.StatusBadRequest)
+	data, err := io.ReadAll(io.LimitReader(r.Body, int64(publication.MaxValue)+1))
+	if err != nil || len(data) > int(publication.MaxValue) {
+		http.Error(w, "a value must be at most "+publication.MaxValue.String(), http.StatusBadRequest)
 		return
 	}
-	p.Put(platform.Key(strings.TrimPrefix(params.ByName("key"), "/")), data)
+	p.Put(publication.Key(strings.TrimPrefix(params.ByName("key"), "/")), data)
 }
 
 func (p *Platform) switchFault(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
