--- a/caller/addresses.go
+++ b/caller/addresses.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 
 	"github.com/briarrouter/briarrouter/id"
-	"github.com/julienschmidt/httprouter"
+	"github.com/briarrouter/briarrouter/outcome"
+	"github.com/briarrouter/briarrouter/unit"
+	"github.com/briarrouter/briarrouter/work"
 )
 
 // AddressesPath is where callers ask which addresses to use. The query names
@@ -35,19 +38,25 @@
 	FailureDomain id.FailureDomain
 }
 
-func (s *Server) addresses(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+// addresses answers a caller who asks which addresses to use, in the project's
+// own dialect.
+func (s *Server) addresses(r *http.Request) (work.Answer, bool) {
+	if s.cfg.Dialect != nil || r.Method != http.MethodGet || r.URL.Path != AddressesPath {
+		return work.Answer{}, false
+	}
 	service := id.Service(r.URL.Query().Get("Service"))
-	answer := Addresses{
+	list := Addresses{
 		Service:          service,
 		HoldMilliseconds: s.cfg.Timing.Hold.Milliseconds(),
 		KeyPrefix:        s.handler.KeyPrefix(),
 	}
 	for _, m := range s.handler.Addresses(service, maxAddresses) {
-		answer.Addresses = append(answer.Addresses, Address{Address: m.Callers, Host: m.Host, FailureDomain: m.FailureDomain})
+		list.Addresses = append(list.Addresses, Address{Address: m.Callers, Host: m.Host, FailureDomain: m.FailureDomain})
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Cache-Control", "no-store")
-	if err := json.NewEncoder(w).Encode(answer); err != nil {
-		s.cfg.Log.Debug().Err(err).Msg("answer about addresses was not written")
+	text, err := json.Marshal(list)
+	if err != nil {
+		panic(fmt.Sprintf("caller: addresses cannot be encoded: %v", err))
 	}
+	header := http.Header{"Content-Type": {"application/json"}, "Cache-Control": {"no-store"}}
+	return work.Answer{Outcome: outcome.Ran, Status: http.StatusOK, Header: header, Held: text, Size: unit.Bytes(len(text))}, true
 }
--- a/caller/request.go
+++ b/caller/request.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"errors"
 	"fmt"
 	"net/http"
 	"path"
@@ -12,7 +11,6 @@
 
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/message"
-	"github.com/briarrouter/briarrouter/outcome"
 	"github.com/briarrouter/briarrouter/work"
 )
 
@@ -41,41 +39,16 @@
 
 func (b badRequest) Error() string { return string(b) }
 
-// request answers one request of a caller.
-func (s *Server) request(w http.ResponseWriter, r *http.Request) {
-	req, err := decode(r, time.Now())
-	if err != nil {
-		s.refuse(w, r, http.StatusBadRequest, work.BadRequest, err)
-		return
-	}
-	body, release, err := message.ReadBody(w, r, message.BodyConfig{
-		Limit: s.cfg.Limits.RequestBody, Buffer: s.cfg.Limits.BodyBuffer, Memory: s.cfg.Memory, Pause: s.cfg.Timing.SlowCaller,
-	})
-	defer release()
-	switch {
-	case errors.Is(err, message.ErrTooLarge):
-		s.refuse(w, r, http.StatusRequestEntityTooLarge, work.RequestTooLarge, err)
-		return
-	case err != nil:
-		s.refuse(w, r, http.StatusBadRequest, work.BadRequest, err)
-		return
-	}
-	req.Body = body
-	message.WriteAnswer(w, req.ID, s.handler.Handle(r.Context(), req), s.cfg.Timing.SlowCaller)
-}
+// Dialect is the project's own protocol towards callers; docs/CALLERS.md
+// describes it.
+type Dialect struct{}
 
-// refuse answers a request that was understood to be wrong before anything of
-// it was done. Where it has a key, an earlier arrival with the key may have run.
-func (s *Server) refuse(w http.ResponseWriter, r *http.Request, status int, reason work.Reason, err error) {
-	known := outcome.NotRun
-	if len(r.Header.Values(KeyField)) > 0 {
-		known = outcome.Unknown
-	}
-	answer := work.Refuse(known, status, reason)
-	answer.Held = append(answer.Held, err.Error()+"\n"...)
-	answer.Size = -1
-	w.Header().Set("Connection", "close")
-	message.WriteAnswer(w, id.NewRequest(), answer, s.cfg.Timing.SlowCaller)
+// Decode turns the head of a caller's request into a request.
+func (Dialect) Decode(r *http.Request, now time.Time) (*work.Request, error) { return decode(r, now) }
+
+// Encode returns the fields of an answer.
+func (Dialect) Encode(request id.Request, a work.Answer) http.Header {
+	return message.AnswerHeader(request, a)
 }
 
 // decode turns the head of a caller's request into a request.
--- a/caller/request_test.go
+++ b/caller/request_test.go
@@ -3,14 +3,16 @@
 import (
 	"bufio"
 	"fmt"
+	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/briarrouter/briarrouter/message"
+	"github.com/briarrouter/briarrouter/settings"
+	"github.com/briarrouter/briarrouter/unit"
 	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/require"
 )
@@ -49,15 +51,20 @@
 // an earlier arrival with the key may have.
 func TestRefused(t *testing.T) {
 	for key, want := range map[string]string{"": "not-run", "0000000000000abc-0-x": "unknown"} {
-		r := httptest.NewRequest(http.MethodPost, "/beds", nil)
-		r.Header.Set(TimeoutField, "soon")
+		near, far := net.Pipe()
+		s := New(Config{Timing: settings.Timing{SlowCaller: time.Second}, Limits: settings.Limits{RequestHeader: unit.KiB}})
+		s.serve(near)
+		fmt.Fprintf(far, "POST /beds HTTP/1.1\r\nHost: d\r\n%s: soon\r\n", TimeoutField)
 		if key != "" {
-			r.Header.Set(KeyField, key)
+			fmt.Fprintf(far, "%s: %s\r\n", KeyField, key)
 		}
-		w := httptest.NewRecorder()
-		New(Config{}).request(w, r)
-		require.Equal(t, http.StatusBadRequest, w.Code)
-		require.Equal(t, want, w.Header().Get(message.OutcomeField))
+		fmt.Fprint(far, "\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(far), nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadRequest, resp.StatusCode)
+		require.Equal(t, want, resp.Header.Get(message.OutcomeField))
+		far.Close()
+		s.group.Wait()
 	}
 }
 
--- a/command/scale_test.go
+++ b/command/scale_test.go
@@ -52,7 +52,8 @@
 	}
 	f.platform.Put(publication.DaemonsKey, []byte(list.String()))
 	for _, daemon := range all {
-		k := newKernel(daemon, zerolog.Nop(), time.Now())
+		k, err := (&assembly{daemon: daemon, log: zerolog.Nop(), now: time.Now()}).kernel()
+		require.NoError(b, err)
 		require.NoError(b, k.Start(context.Background()))
 		f.kernels = append(f.kernels, k)
 	}
--- a/command/serve.go
+++ b/command/serve.go
@@ -17,7 +17,9 @@
 	"github.com/briarrouter/briarrouter/metric"
 	"github.com/briarrouter/briarrouter/operator"
 	"github.com/briarrouter/briarrouter/peer"
+	"github.com/briarrouter/briarrouter/platform"
 	"github.com/briarrouter/briarrouter/publication"
+	"github.com/briarrouter/briarrouter/registry"
 	"github.com/briarrouter/briarrouter/roster"
 	"github.com/briarrouter/briarrouter/router"
 	"github.com/briarrouter/briarrouter/settings"
@@ -41,56 +43,152 @@
 	if err != nil {
 		return err
 	}
-	log := newLogger(s.streams.err).Level(level).With().Str("Host", string(daemon.Host)).Logger()
-	k := newKernel(daemon, log, time.Now())
+	out := newLogWriter(s.streams.out)
+	defer out.Close()
+	log := newLogger(out).Level(level).With().Str("Host", string(daemon.Host)).Logger()
+	a := &assembly{daemon: daemon, log: log, dropped: out.dropped, now: time.Now()}
+	k, err := a.kernel()
+	if err != nil {
+		return invalid(err)
+	}
+	return run(k, daemon, log)
+}
+
+// run starts the services, waits for a signal, and stops them.
+func run(k *kernel.Kernel, daemon settings.Daemon, log zerolog.Logger) error {
+	log.Info().Str("FailureDomain", string(daemon.FailureDomain)).Int("Seeds", len(daemon.Seeds)).Msg("starting")
 	if err := k.Start(context.Background()); err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	<-ctx.Done()
-	return k.Stop(context.Background())
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	for ctx.Err() == nil {
+		select {
+		case <-reload:
+			log.Info().Msg("signal to reload; settings are read at the next start")
+		case <-ctx.Done():
+		}
+	}
+	log.Info().Dur("Bound", daemon.Timing.Stop).Msg("stopping")
+	ctx = context.Background()
+	if daemon.Timing.Stop > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, daemon.Timing.Stop)
+		defer cancel()
+	}
+	err := k.Stop(ctx)
+	log.Info().AnErr("Cause", err).Msg("stopped")
+	return err
 }
 
 // answersShare is the part of the memory for bodies that holds answers for
 // repeats of keys.
 const answersShare = 2
 
-// newKernel registers the services of a daemon. They start in this order and
-// stop in the reverse order.
-func newKernel(daemon settings.Daemon, log zerolog.Logger, now time.Time) *kernel.Kernel {
+// assembly puts the services of a daemon together.
+type assembly struct {
+	daemon settings.Daemon
+	log    zerolog.Logger
+	// dropped returns how many log lines were dropped.
+	dropped func() int64
+	now     time.Time
+}
+
+// kernel registers the services of a daemon. They start in this order and stop
+// in the reverse order.
+func (a *assembly) kernel() (*kernel.Kernel, error) {
+	daemon, log := a.daemon, a.log
+	terms, err := platform.ParseTerms(daemon.Store.Terms)
+	if err != nil {
+		return nil, err
+	}
 	self := roster.Member{
 		Host:          daemon.Host,
 		FailureDomain: daemon.FailureDomain,
 		Callers:       daemon.Callers,
 		Peers:         daemon.Peers,
-		Incarnation:   id.NewIncarnation(now),
+		Incarnation:   id.NewIncarnation(a.now),
 	}
 	seed := uint64(self.Incarnation)
 	gate := memory.New(daemon.Limits.Buffers)
 	metrics := metric.New()
 	scope := metrics.Scope()
+	onStore := daemon.Store.Address != ""
 
 	k := kernel.New()
 	k.Register(metric.ServiceName, metrics)
 	k.Register(operator.ServiceName, operator.New(operator.Config{Address: daemon.Operator, Log: log}))
-	k.Register(configuration.ServiceName, configuration.NewStore(configuration.StoreConfig{Log: log}))
+	k.Register(configuration.ServiceName, a.store(terms))
 	k.Register(dispatch.ServiceName, dispatch.New(dispatch.Config{
 		Log: log, Scope: scope, Memory: gate, AnswerBuffer: daemon.Limits.AnswerBuffer, Seed: seed,
 	}))
 	k.Register(peer.ServiceName, peer.New(peer.Config{
-		Self: self, Limits: daemon.Limits, Timing: daemon.Timing, Memory: gate, Scope: scope, Log: log, Seed: seed,
+		Self: self, Limits: daemon.Limits, Timing: daemon.Timing, Memory: gate, Scope: scope, Log: log, Seed: seed, Seeds: daemon.Seeds,
 	}))
-	k.Register(publication.ServiceName, publication.NewReader(publication.Config{Addresses: daemon.Platform, Log: log}))
+	if onStore {
+		k.Register(registry.ServiceName, registry.New(registry.Config{Source: platform.NewStore(daemon.Store.Address), Log: log, Scope: scope}))
+	} else {
+		k.Register(publication.ServiceName, publication.NewReader(publication.Config{Addresses: daemon.Platform, Log: log}))
+	}
 	k.Register(router.ServiceName, router.New(router.Config{
 		Ledger: ledger.Config{
-			Incarnation: self.Incarnation, Start: now, Epoch: daemon.Timing.Epoch,
+			Incarnation: self.Incarnation, Start: a.now, Epoch: daemon.Timing.Epoch,
 			Keys: daemon.Limits.Keys, Answers: daemon.Limits.Buffers / answersShare,
 		},
 		Scope: scope,
+		Local: onStore,
 	}))
-	k.Register(caller.ServiceName, caller.New(caller.Config{
-		Address: daemon.Callers, Limits: daemon.Limits, Timing: daemon.Timing, Memory: gate, Log: log,
-	}))
-	return k
+	callers := caller.Config{Address: daemon.Callers, Limits: daemon.Limits, Timing: daemon.Timing, Memory: gate, Log: log}
+	if onStore {
+		callers.Dialect = platform.Dialect{}
+		k.Register(platform.DirectoryName, platform.NewDirectory(platform.DirectoryConfig{
+			Resolve: daemon.Directory.Resolve, Ready: daemon.Directory.Ready, Hold: min(daemon.Timing.Hold, terms.MaxHold), Log: log,
+		}))
+	}
+	k.Register(caller.ServiceName, caller.New(callers))
+	return k, nil
+}
+
+// store returns the store of the format that the platform publishes in.
+func (a *assembly) store(terms platform.Terms) *configuration.Store {
+	cfg := configuration.StoreConfig{Log: a.log}
+	if a.daemon.Store.Address != "" {
+		cfg.Format = platform.Format{Policy: storePolicy(terms)}
+	}
+	return configuration.NewStore(cfg)
+}
+
+const (
+	// storeQueue bounds the requests of a service that wait at one daemon: more
+	// than a daemon of the sizes in use can answer within any deadline.
+	storeQueue = 256
+	// storeLoad is how many daemons at once may spend the platform's allowance
+	// of retries: those that callers are steered to, twice, since callers hold
+	// old answers while the set changes.
+	storeLoad = 6
+	// storeAvoidance is how many requests on each of its slots the certainty
+	// that a target fails weighs. A failed unrepeatable request is lost, while
+	// one that waits is only late.
+	storeAvoidance = 8
+	// storeWarmup is how long a target that is new during the day gets less.
+	storeWarmup = 2 * time.Second
+)
+
+// storePolicy is the policy of services that the platform's configuration names
+// without a questionnaire. Nothing is ejected: targets there fail for seconds,
+// and ranking answers that without a floor to mind.
+func storePolicy(terms platform.Terms) configuration.Service {
+	return configuration.Service{
+		Slots:      1,
+		Floor:      1,
+		LongShare:  1,
+		Queue:      storeQueue,
+		RetryShare: terms.RetryShare,
+		RetryBurst: terms.RetryBurst / storeLoad,
+		Attempts:   1,
+		Avoidance:  storeAvoidance,
+		Warmup:     storeWarmup,
+	}
 }
--- a/command/speed_test.go
+++ b/command/speed_test.go
@@ -71,7 +71,8 @@
 		freeAddress(b), freeAddress(b), freeAddress(b), published.Listener.Addr())
 	daemon, err := settings.Parse("speed", []byte(text))
 	require.NoError(b, err)
-	k := newKernel(daemon, zerolog.Nop(), time.Now())
+	k, err := (&assembly{daemon: daemon, log: zerolog.Nop(), now: time.Now()}).kernel()
+	require.NoError(b, err)
 	require.NoError(b, k.Start(context.Background()))
 	b.Cleanup(func() { k.Stop(context.Background()) })
 	f := &fleet{kernel: k, target: "http://" + target.Listener.Addr().String() + "/beds", entry: "http://" + string(daemon.Callers) + "/beds"}
--- a/configuration/snapshot.go
+++ b/configuration/snapshot.go
@@ -56,7 +56,7 @@
 func ParseIndex(data []byte) (Index, error) {
 	f := inifile.Parse("index", data)
 	i := Index{
-		Version: id.ConfigVersion{Number: f.Section("Configuration").Uint64("Version"), Digest: Digest(data)[:versionDigits]},
+		Version: id.ConfigVersion{Number: f.Section("Configuration").Uint64("Version"), Digest: ShortDigest(data)},
 		Digests: make(map[id.Service]string),
 	}
 	for _, s := range f.Sections("Service") {
@@ -71,6 +71,9 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// ShortDigest returns the part of a document's digest that its version carries.
+func ShortDigest(data []byte) string { return Digest(data)[:versionDigits] }
+
 // EncodeIndex writes the index of a configuration from the values of its
 // services.
 func EncodeIndex(number uint64, values map[id.Service][]byte) []byte {
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/briarrouter/briarrouter/configuration"
@@ -48,7 +49,7 @@
 	s := x.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c := s.connections[x.endpoint.ID]; c != nil && c.endpoint.Address == x.endpoint.Address {
+	if c := s.connections[x.endpoint.ID]; c != nil && c.endpoint.Same(x.endpoint) {
 		return c.pool, s.policy.Target
 	}
 	return nil, s.policy.Target
@@ -59,10 +60,16 @@
 	if header == nil {
 		header = make(http.Header)
 	}
-	attemptID := fmt.Sprintf("%s.%d", req.ID, attempt)
+	attemptID := string(req.ID)
+	if !contract.EchoVerbatim {
+		attemptID = fmt.Sprintf("%s.%d", req.ID, attempt)
+	}
 	if contract.EchoHeader != "" {
 		header.Set(contract.EchoHeader, attemptID)
 	}
+	if contract.TargetHeader != "" {
+		header.Set(contract.TargetHeader, string(x.endpoint.ID))
+	}
 	if contract.DeadlineHeader != "" {
 		left := req.Deadline.Sub(x.started).Milliseconds()
 		header.Set(contract.DeadlineHeader, strconv.FormatInt(left, 10))
@@ -74,6 +81,7 @@
 	return exchange.Call{
 		Method: req.Method, URI: req.URI, Host: req.Host, Header: header, Body: req.Body,
 		MaxIdle: maxIdle, EchoHeader: contract.EchoHeader, Echo: attemptID,
+		Unframed: contract.Unframed, SignatureHeader: contract.SignatureHeader,
 	}
 }
 
@@ -86,26 +94,54 @@
 	if contract.DrainHeader != "" && reply.Header.Get(contract.DrainHeader) != "" {
 		x.result.Draining = true
 	}
+	x.result.Load = parseLoad(reply.Header.Get(contract.LoadHeader))
+	x.result.Misdirected = contract.MisdirectedStatus != 0 && reply.Status == contract.MisdirectedStatus
 	if declined(reply, contract) {
-		reply.Release()
-		if reply.Rest != nil {
-			reply.Rest.Close()
-		}
+		x.discard(reply)
 		reply.Ending = outcome.Declined
 		return
 	}
 	x.result.Wrong = reply.Status >= http.StatusInternalServerError
 }
 
-// declined tells whether the answer is the one that the questionnaire declares
-// to mean "not run".
+// discard ends the use of an answer that nobody gets.
+func (x *attemptExchange) discard(reply *exchange.Reply) {
+	reply.Release()
+	if reply.Rest != nil {
+		reply.Rest.Close()
+	}
+}
+
+// declined tells whether the answer is the one that the contract declares to
+// mean "not run". A status alone is no proof where a header must stand beside.
 func declined(reply *exchange.Reply, contract configuration.Contract) bool {
+	if contract.MisdirectedStatus != 0 && reply.Status == contract.MisdirectedStatus {
+		return true
+	}
+	if contract.NotRunAnyStatus {
+		return reply.Header.Get(contract.NotRunHeader) != ""
+	}
 	if contract.NotRunStatus == 0 || reply.Status != contract.NotRunStatus {
 		return false
 	}
 	return contract.NotRunHeader == "" || reply.Header.Get(contract.NotRunHeader) != ""
 }
 
+// parseLoad reads the numbers of running and of waiting requests. Nothing is
+// taken of a text that has another form: the load only helps to choose.
+func parseLoad(text string) *schedule.Load {
+	parts := strings.Split(text, ",")
+	if len(parts) < 2 {
+		return nil
+	}
+	running, errRunning := strconv.Atoi(strings.TrimSpace(parts[0]))
+	waiting, errWaiting := strconv.Atoi(strings.TrimSpace(parts[1]))
+	if errRunning != nil || errWaiting != nil || running < 0 || waiting < 0 {
+		return nil
+	}
+	return &schedule.Load{Running: running, Waiting: waiting}
+}
+
 // end frees the slot.
 func (x *attemptExchange) end(e outcome.Ending) {
 	x.result.Ending = e
@@ -130,6 +166,12 @@
 	return a
 }
 
+// failure keeps a failure that the target answered, with all of its body.
+func (x *attemptExchange) failure(reply exchange.Reply) work.Answer {
+	reply.Release()
+	return work.Answer{Outcome: outcome.Ran, Status: reply.Status, Header: reply.Header, Held: reply.Held, Size: reply.Size}
+}
+
 // answerStream is a streamed answer that holds its slot to the end.
 type answerStream struct {
 	io.ReadCloser
--- a/dispatch/handle.go
+++ b/dispatch/handle.go
@@ -16,13 +16,16 @@
 )
 
 // handle runs a request: it waits for a slot, sends the request, and tries
-// again where that is safe and allowed.
+// again where that is safe and allowed. A failure that a target answered is kept
+// while another target is tried, since it is the answer if none does better.
 func (s *serviceDispatcher) handle(ctx context.Context, req *work.Request, route *configuration.Route) work.Answer {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	s.begin(ctx)
 	job := schedule.Job{Caller: req.Caller, Route: route, Fingerprint: req.Fingerprint(), Deadline: req.Deadline}
 	known := outcome.NotRun
+	var failed *work.Answer
 	for attempt := 1; ; attempt++ {
+		waited := time.Now()
 		decision := s.acquire(ctx, &job)
 		if decision.Kind == schedule.Refused {
 			if decision.Reason == work.Quarantined && attempt > 1 {
@@ -30,25 +33,38 @@
 				clock.Sleep(ctx, quarantine.NewsTime)
 			}
 			cancel()
-			return refusal(known, decision)
+			s.logRefusal(req, route, attempt, decision, time.Since(waited))
+			return answerOf(failed, refusal(known, decision))
 		}
 		x := &attemptExchange{service: s, ticket: job.Ticket, endpoint: decision.Endpoint, cancel: cancel}
 		reply := x.run(ctx, req, route, attempt)
+		s.logAttempt(req, route, attempt, decision, reply, x, time.Since(waited))
 		if reply.Ending == outcome.Answered {
-			return x.answer(reply)
+			if !x.result.Wrong || reply.Rest != nil || !s.mayRetryFailure(attempt, req, route) {
+				return x.answer(reply)
+			}
+			a := x.failure(reply)
+			failed = &a
 		}
 		known = outcome.Join(known, reply.Ending.Outcome())
-		s.log.Debug().Str("Target", string(decision.Endpoint.ID)).Str("Ending", string(reply.Ending)).
-			Str("Request", string(req.ID)).AnErr("Cause", reply.Err).Msg("attempt failed")
-		if !s.mayRetry(reply.Ending, attempt, req, route) {
+		if reply.Ending != outcome.Answered && !s.mayRetry(reply.Ending, attempt, req, route) {
 			cancel()
-			return failure(known, reply.Ending)
+			return answerOf(failed, s.failure(known, reply.Ending))
 		}
 		job.Tried = append(job.Tried, decision.Endpoint.ID)
 		s.backoff(ctx, attempt)
 	}
 }
 
+// answerOf returns the failure that a target answered before, if there is one:
+// it says more than what the system can say itself.
+func answerOf(failed *work.Answer, other work.Answer) work.Answer {
+	if failed != nil {
+		return *failed
+	}
+	return other
+}
+
 // begin counts a first attempt and waits for the first list of targets.
 func (s *serviceDispatcher) begin(ctx context.Context) {
 	s.mu.Lock()
@@ -130,12 +146,30 @@
 	if e == outcome.DialFailed {
 		return attempt < maxDials
 	}
-	if !e.Retryable(route.Idempotent) || !req.Body.Replayable() {
+	return e.Retryable(route.Idempotent) && s.takeRetry(attempt, req, route)
+}
+
+// mayRetryFailure tells whether another target may be tried after one that
+// answered with a failure of its own.
+func (s *serviceDispatcher) mayRetryFailure(attempt int, req *work.Request, route *configuration.Route) bool {
+	s.mu.Lock()
+	allowed := s.policy.Target.RetryFailures
+	s.mu.Unlock()
+	return allowed && route.Idempotent && s.takeRetry(attempt, req, route)
+}
+
+// takeRetry takes the right to another attempt.
+func (s *serviceDispatcher) takeRetry(attempt int, req *work.Request, route *configuration.Route) bool {
+	if !req.Body.Replayable() {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if attempt >= s.policy.Attempts || !s.budget.TryTake() {
+	limit := s.policy.Attempts
+	if route.Attempts > 0 {
+		limit = route.Attempts
+	}
+	if attempt >= limit || !s.budget.TryTake() {
 		return false
 	}
 	s.scope.Counter("retries").Inc(1)
@@ -161,15 +195,33 @@
 }
 
 // failure is the answer where the last attempt failed.
-func failure(known outcome.Outcome, e outcome.Ending) work.Answer {
+func (s *serviceDispatcher) failure(known outcome.Outcome, e outcome.Ending) work.Answer {
 	switch {
 	case e == outcome.TimedOut:
 		return work.Refuse(known, http.StatusGatewayTimeout, work.DeadlinePassed)
 	case e == outcome.Cancelled:
 		return work.Refuse(known, http.StatusGatewayTimeout, work.CallerGone)
 	case known == outcome.NotRun:
-		return work.Refuse(known, http.StatusServiceUnavailable, work.TargetFailed)
+		a := work.Refuse(known, http.StatusServiceUnavailable, work.TargetFailed)
+		a.RetryAfter = s.returnAfter()
+		return a
 	default:
 		return work.Refuse(known, http.StatusBadGateway, work.TargetFailed)
 	}
 }
+
+// returnAfter is when a caller may come back whose request no target took: a
+// time drawn evenly, so that those who were refused together do not return
+// together.
+func (s *serviceDispatcher) returnAfter() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return minReturn + time.Duration(s.random.Int64N(int64(maxReturn-minReturn)))
+}
+
+const (
+	// minReturn is about the time in which a target that shed load finishes
+	// one request.
+	minReturn = 100 * time.Millisecond
+	maxReturn = 400 * time.Millisecond
+)
--- /dev/null
+++ b/dispatch/log.go
@@ -0,0 +1,56 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/exchange"
+	"github.com/briarrouter/briarrouter/schedule"
+	"github.com/briarrouter/briarrouter/work"
+)
+
+// logAttempt tells what one attempt rested on and how it ended.
+func (s *serviceDispatcher) logAttempt(req *work.Request, route *configuration.Route, attempt int, d schedule.Decision, reply exchange.Reply, x *attemptExchange, total time.Duration) {
+	s.scope.Tagged(map[string]string{"ending": string(reply.Ending)}).Counter("attempts").Inc(1)
+	s.scope.Timer("attempt_seconds").Record(x.result.Elapsed)
+	event := s.log.Info().
+		Str("Request", string(req.ID)).
+		Str("Route", string(route.Name)).
+		Int("Attempt", attempt).
+		Str("Target", string(d.Endpoint.ID)).
+		Str("Address", string(d.Endpoint.Address)).
+		Int("Targets", d.Inputs.Targets).
+		Int("Eligible", d.Inputs.Eligible).
+		Int("Running", d.Inputs.Running).
+		Float64("Load", d.Inputs.Load).
+		Float64("Sick", d.Inputs.Sick).
+		Dur("EvidenceAge", d.Inputs.Age).
+		Dur("Waited", total-x.result.Elapsed).
+		Dur("Elapsed", x.result.Elapsed).
+		Dur("Left", time.Until(req.Deadline)).
+		Str("Ending", string(reply.Ending)).
+		Int("Status", reply.Status)
+	if reply.Err != nil {
+		event = event.AnErr("Cause", reply.Err)
+	}
+	event.Msg("attempt ended")
+}
+
+// logRefusal tells why a request was not sent to a target.
+func (s *serviceDispatcher) logRefusal(req *work.Request, route *configuration.Route, attempt int, d schedule.Decision, waited time.Duration) {
+	s.scope.Tagged(map[string]string{"reason": string(d.Reason)}).Counter("refusals").Inc(1)
+	s.mu.Lock()
+	waiting, targets := s.scheduler.Waiting(), s.scheduler.Targets()
+	s.mu.Unlock()
+	s.log.Info().
+		Str("Request", string(req.ID)).
+		Str("Route", string(route.Name)).
+		Int("Attempt", attempt).
+		Str("Reason", string(d.Reason)).
+		Int("Targets", targets).
+		Int("Waiting", waiting).
+		Dur("Waited", waited).
+		Dur("Left", time.Until(req.Deadline)).
+		Dur("RetryAfter", d.RetryAfter).
+		Msg("request refused")
+}
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -64,7 +64,7 @@
 		policy:      policy,
 		scheduler:   schedule.New(policy, table, random),
 		suspects:    table,
-		budget:      retry.NewBudget(policy.RetryShare),
+		budget:      retry.NewBudget(budgetConfig(policy)),
 		random:      random,
 		waiting:     make(map[schedule.Ticket]chan schedule.Decision),
 		connections: make(map[id.Target]*connection),
@@ -72,6 +72,10 @@
 	}
 }
 
+func budgetConfig(p *configuration.Service) retry.Config {
+	return retry.Config{Share: p.RetryShare, Burst: p.RetryBurst}
+}
+
 func (s *serviceDispatcher) start(ctx context.Context) {
 	ctx, s.cancel = context.WithCancel(ctx)
 	s.owner.lists.WatchTargets(ctx, &s.group, s.name, func(list []schedule.Endpoint) { s.setTargets(ctx, list) })
@@ -126,7 +130,7 @@
 	if next := current.Services[s.name]; next != nil && next != s.policy {
 		s.policy = next
 		s.scheduler.SetPolicy(next)
-		s.budget.SetShare(next.RetryShare)
+		s.budget.SetConfig(budgetConfig(next))
 	}
 }
 
@@ -204,7 +208,7 @@
 // connection returns the open connections of a target, or starts new ones with
 // a task that probes the target.
 func (s *serviceDispatcher) connection(ctx context.Context, e schedule.Endpoint) *connection {
-	if c := s.connections[e.ID]; c != nil && c.endpoint.Address == e.Address {
+	if c := s.connections[e.ID]; c != nil && c.endpoint.Same(e) {
 		return c
 	}
 	pool := exchange.New(exchange.Config{
@@ -217,8 +221,10 @@
 		Memory:       s.owner.cfg.Memory,
 	})
 	ctx, cancel := context.WithCancel(ctx)
-	p := &prober{service: s, endpoint: e, pool: pool}
-	s.group.Go(func() { p.loop(ctx) })
+	if s.policy.Probe.Every > 0 {
+		p := &prober{service: s, endpoint: e, pool: pool}
+		s.group.Go(func() { p.loop(ctx) })
+	}
 	return &connection{endpoint: e, pool: pool, cancel: cancel}
 }
 
--- a/message/answer.go
+++ b/message/answer.go
@@ -16,12 +16,9 @@
 // copyBuffer is the size of the buffer that streamed answers go through.
 const copyBuffer = 32 << 10
 
-// WriteAnswer writes an answer and closes it. A streamed answer that is cut
-// cuts the connection, so that the receiver cannot take the cut for the end.
-func WriteAnswer(w http.ResponseWriter, request id.Request, a work.Answer, pause time.Duration) {
-	defer a.Close()
-	header := w.Header()
-	maps.Copy(header, EndToEnd(a.Header))
+// AnswerHeader returns the fields of an answer.
+func AnswerHeader(request id.Request, a work.Answer) http.Header {
+	header := EndToEnd(a.Header)
 	header.Set(OutcomeField, string(a.Outcome))
 	header.Set(RequestField, string(request))
 	if a.Reason != work.NoReason {
@@ -30,6 +27,15 @@
 	if a.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(a.RetryAfter.Seconds()))))
 	}
+	return header
+}
+
+// WriteAnswer writes an answer and closes it. A streamed answer that is cut
+// cuts the connection, so that the receiver cannot take the cut for the end.
+func WriteAnswer(w http.ResponseWriter, request id.Request, a work.Answer, pause time.Duration) {
+	defer a.Close()
+	header := w.Header()
+	maps.Copy(header, AnswerHeader(request, a))
 	if a.Size >= 0 && bodyAllowed(a.Status) {
 		header.Set("Content-Length", strconv.FormatInt(int64(a.Size), 10))
 	}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -67,6 +67,8 @@
 	Log    zerolog.Logger
 	// Seed makes the order of probes.
 	Seed uint64
+	// Seeds lists addresses of peers to ask first. They may be down.
+	Seeds []id.Address
 }
 
 // Service is this daemon among its peers.
@@ -140,6 +142,12 @@
 	s.started = time.Now()
 	s.group.Go(func() { s.run(listener) })
 	s.group.Go(func() { s.loop(s.ctx) })
+	for _, address := range s.cfg.Seeds {
+		if address != s.cfg.Self.Peers {
+			c := newContact(s, address)
+			s.group.Go(func() { c.run(s.ctx) })
+		}
+	}
 	return nil
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -8,6 +8,7 @@
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/kernel"
 	"github.com/briarrouter/briarrouter/peer/peerpb"
+	"github.com/briarrouter/briarrouter/roster"
 	"github.com/twitchtv/twirp"
 )
 
@@ -39,8 +40,35 @@
 	if n.GetFrom().GetHost() == "" || n.GetFrom().GetIncarnation() == 0 {
 		return nil, twirp.RequiredArgumentError("From")
 	}
+	first := s.isNew(decodeMember(n.GetFrom()))
 	s.heard(n)
-	return s.news(id.Host(n.GetFrom().GetHost())), nil
+	answer := s.news(id.Host(n.GetFrom().GetHost()))
+	if first {
+		answer.Members = s.everyone()
+	}
+	return answer, nil
+}
+
+// isNew tells whether a daemon's incarnation was not heard before. It gets the
+// whole roster, since it may know nobody.
+func (s *Service) isNew(m roster.Member) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, known := s.table.Find(m.Incarnation)
+	return !known
+}
+
+// everyone returns the statements about all members that were heard.
+func (s *Service) everyone() []*peerpb.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*peerpb.Member
+	for _, m := range s.table.Members() {
+		if m.Incarnation != 0 && m.State != roster.Dead {
+			list = append(list, encodeMember(m))
+		}
+	}
+	return list
 }
 
 // PingVia pings a peer for another one.
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -11,22 +11,41 @@
 // Budget allows retries in proportion to the first attempts of a service, so
 // that retries cannot multiply the load of a service that fails as a whole.
 type Budget struct {
-	share unit.Ratio
-	// tokens is between 0 and burst; a retry takes one.
+	cfg Config
+	// tokens is between 0 and the burst; a retry takes one.
 	tokens float64
 }
 
-// burst is how many retries may follow each other after a quiet time.
-const burst = 10
+// Config makes a Budget.
+type Config struct {
+	// Share is how many retries are allowed for each first attempt.
+	Share unit.Ratio
+	// Burst is how many retries may follow each other after a quiet time; zero
+	// stands for defaultBurst. Any span of time has at most Burst retries more
+	// than Share allows for its attempts.
+	Burst float64
+}
+
+const defaultBurst = 10
+
+func (c Config) burst() float64 {
+	if c.Burst == 0 {
+		return defaultBurst
+	}
+	return c.Burst
+}
 
-// NewBudget returns a full budget that allows share retries for each attempt.
-func NewBudget(share unit.Ratio) *Budget { return &Budget{share: share, tokens: burst} }
+// NewBudget returns a full budget.
+func NewBudget(cfg Config) *Budget { return &Budget{cfg: cfg, tokens: cfg.burst()} }
 
-// SetShare changes the share.
-func (b *Budget) SetShare(share unit.Ratio) { b.share = share }
+// SetConfig changes what is allowed.
+func (b *Budget) SetConfig(cfg Config) {
+	b.cfg = cfg
+	b.tokens = min(b.tokens, cfg.burst())
+}
 
 // Attempt records a first attempt.
-func (b *Budget) Attempt() { b.tokens = min(burst, b.tokens+float64(b.share)) }
+func (b *Budget) Attempt() { b.tokens = min(b.cfg.burst(), b.tokens+float64(b.cfg.Share)) }
 
 // TryTake takes the right to one retry.
 func (b *Budget) TryTake() bool {
--- a/router/prepare.go
+++ b/router/prepare.go
@@ -18,16 +18,15 @@
 	generation uint64
 	order      *steering.Order
 	ranked     map[id.Service][]roster.Member
+	// shared is the daemons that callers of every service use.
+	shared []roster.Member
 }
 
 // of returns the order for a service. It must not be changed.
 func (r *ranks) of(s id.Service, p peers) []roster.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if g := p.Generation(); r.order == nil || g != r.generation {
-		r.generation, r.order = g, steering.New(p.Members())
-		r.ranked = make(map[id.Service][]roster.Member)
-	}
+	r.renew(p)
 	list, ok := r.ranked[s]
 	if !ok {
 		list = r.order.Rank(s)
@@ -36,6 +35,27 @@
 	return list
 }
 
+// renew ranks anew where the roster has changed. The lock is held.
+func (r *ranks) renew(p peers) {
+	if g := p.Generation(); r.order == nil || g != r.generation {
+		r.generation, r.order = g, steering.New(p.Members())
+		r.ranked = make(map[id.Service][]roster.Member)
+		r.shared = r.order.Shared(p.Self(), sharedDaemons)
+	}
+}
+
+// sharedDaemons is how many daemons callers of every service are steered to.
+// Three survive the loss of two; more of them each see less of the targets.
+const sharedDaemons = 3
+
+// sharedList returns the daemons that callers of every service use.
+func (r *ranks) sharedList(p peers) []roster.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.renew(p)
+	return r.shared
+}
+
 const (
 	// prepareEvery is the time between two looks at what to prepare.
 	prepareEvery = 500 * time.Millisecond
@@ -67,6 +87,10 @@
 func (r *Router) prepare(snapshot *configuration.Snapshot) {
 	self := r.peers.Self()
 	for name, policy := range snapshot.Services {
+		if r.local {
+			r.runner.Prepare(policy)
+			continue
+		}
 		order := r.ranks.of(name, r.peers)
 		for _, m := range order[:min(prepared, len(order))] {
 			if m.Host == self.Host {
--- a/router/router.go
+++ b/router/router.go
@@ -71,11 +71,16 @@
 type Config struct {
 	Ledger ledger.Config
 	Scope  tally.Scope
+	// Local runs every request on this daemon instead of relaying it to the
+	// dispatcher of its service. It is for callers that are steered to the
+	// daemons that dispatch.
+	Local bool
 }
 
 // Router leads requests.
 type Router struct {
 	scope    tally.Scope
+	local    bool
 	policies policies
 	runner   runner
 	peers    peers
@@ -89,7 +94,7 @@
 
 // New returns a router that owns no key yet.
 func New(cfg Config) *Router {
-	return &Router{scope: cfg.Scope, ledger: ledger.New(cfg.Ledger)}
+	return &Router{scope: cfg.Scope, local: cfg.Local, ledger: ledger.New(cfg.Ledger)}
 }
 
 // Start finds the services that the router leads to.
@@ -153,8 +158,10 @@
 	if !ok {
 		return r.refuse(req, purpose, http.StatusNotFound, work.NoRoute)
 	}
-	if req.Deadline.IsZero() {
-		req.Deadline = time.Now().Add(m.Route.Timeout)
+	m = m.Pick(rand.Float64())
+	limit := time.Now().Add(m.Route.Timeout)
+	if req.Deadline.IsZero() || m.Route.TimeoutBinds && limit.Before(req.Deadline) {
+		req.Deadline = limit
 	}
 	req.Idempotent = m.Route.Idempotent
 	if req.Key != "" && !m.Route.Idempotent && purpose != ToDispatcher {
@@ -251,7 +258,7 @@
 // one, else the standbys in their order, else this one.
 func (r *Router) place(ctx context.Context, req *work.Request, m configuration.Match) work.Answer {
 	self := r.peers.Self()
-	if req.Hops >= maxHops {
+	if r.local || req.Hops >= maxHops {
 		return r.runner.Run(ctx, req, m)
 	}
 	known := outcome.NotRun
@@ -323,3 +330,12 @@
 func (r *Router) Addresses(s id.Service, n int) []roster.Member {
 	return steering.Answers(r.ranks.of(s, r.peers), r.peers.Self(), n, rand.IntN(n))
 }
+
+// Steer returns the addresses that callers of any service shall use.
+func (r *Router) Steer(id.FailureDomain) []id.Address {
+	var list []id.Address
+	for _, m := range r.ranks.sharedList(r.peers) {
+		list = append(list, m.Callers)
+	}
+	return list
+}
--- a/schedule/choice.go
+++ b/schedule/choice.go
@@ -43,7 +43,8 @@
 }
 
 func (s *Scheduler) grant(now time.Time, job Job, t *target) Decision {
-	beyond := t.running >= int(s.policy.Slots)
+	beyond := t.running >= int(s.slots(t.endpoint))
+	inputs := s.inputs(now, t, job)
 	g := &grant{job: job, target: t, since: now, suspect: s.suspects.Suspect(job.Fingerprint), beyond: beyond, pending: beyond}
 	t.running++
 	t.long += count(job.Route.Long)
@@ -51,7 +52,19 @@
 	s.granted[job.Ticket] = g
 	s.queue.started(job.Caller)
 	s.counts.Granted++
-	return Decision{Kind: Granted, Endpoint: t.endpoint}
+	return Decision{Kind: Granted, Endpoint: t.endpoint, Inputs: inputs}
+}
+
+// inputs returns what the choice of a target rests on.
+func (s *Scheduler) inputs(now time.Time, t *target, job Job) Inputs {
+	in := Inputs{Targets: len(s.targets), Running: t.running, Load: t.load(now), Sick: t.sick(now), Age: -1}
+	if age, ok := t.belief.Age(now); ok {
+		in.Age = age
+	}
+	for _, other := range s.targets {
+		in.Eligible += count(s.eligible(now, other, job, false))
+	}
+	return in
 }
 
 func count(b bool) int {
@@ -109,7 +122,7 @@
 // the one before it ends, a network's time sooner. A target with long work gets
 // none, since the request would wait behind it.
 func (s *Scheduler) extra(now time.Time, t *target, job Job) int {
-	full := t.running == int(s.policy.Slots) && s.judge.State(t.endpoint.ID) == health.Serving
+	full := t.running == int(s.slots(t.endpoint)) && s.judge.State(t.endpoint.ID) == health.Serving
 	saturated := s.queue.len() >= len(s.targets)*int(s.policy.Slots)
 	if job.Route.Long || t.long > 0 || !full || !saturated || now.Before(t.extraFrom) {
 		return 0
@@ -120,10 +133,21 @@
 // triedCost makes a target that an earlier attempt used the last choice.
 const triedCost = 10
 
-// cost orders the eligible targets; the lowest is chosen. Suspicion does not
-// count: a suspected target that got less work would take longer to judge.
+// exploring is the part of the avoidance that counts for idempotent work. It
+// may be tried again elsewhere, so it finds out whether doubtful targets are
+// well again, and unrepeatable work goes where success is fresh.
+const exploring = 0.3
+
+// cost orders the eligible targets; the lowest is chosen.
 func (s *Scheduler) cost(now time.Time, t *target, job Job) float64 {
-	cost := float64(t.running) / float64(s.targetCapacity(now, t))
+	cost := t.load(now) / float64(s.targetCapacity(now, t))
+	weight := s.policy.Avoidance
+	if job.Route.Idempotent {
+		weight *= exploring
+	}
+	if weight > 0 {
+		cost += weight * t.sick(now)
+	}
 	if slices.Contains(job.Tried, t.endpoint.ID) {
 		cost += triedCost
 	}
@@ -131,7 +155,7 @@
 }
 
 func (s *Scheduler) targetCapacity(now time.Time, t *target) int {
-	return t.capacity(now, s.policy.Slots, s.policy.Warmup, s.judge.State(t.endpoint.ID))
+	return t.capacity(now, s.slots(t.endpoint), s.policy.Warmup, s.judge.State(t.endpoint.ID))
 }
 
 // capacity returns how many requests the service may run now.
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -87,8 +87,9 @@
 	return n
 }
 
-// best returns the waiting job of a class that runs next: the one whose caller
-// runs least for its share, then the one with the nearest deadline.
+// best returns the waiting job of a class that runs next: the most urgent one,
+// then the one whose caller runs least for its share, then the one with the
+// nearest deadline.
 func (q *queue) best(long bool) (Job, bool) {
 	var best Job
 	found := false
@@ -101,6 +102,9 @@
 }
 
 func (q *queue) before(a, b Job) bool {
+	if a.Route.Priority != b.Route.Priority {
+		return a.Route.Priority < b.Route.Priority
+	}
 	x, y := q.load(a.Caller), q.load(b.Caller)
 	if x != y {
 		return x < y
--- a/schedule/result.go
+++ b/schedule/result.go
@@ -18,8 +18,18 @@
 	Wrong bool
 	// Draining tells that the target said that it is leaving.
 	Draining bool
+	// Misdirected tells that another process answered at the target's address.
+	Misdirected bool
 	// Elapsed is the time on the target; to the head of a streamed answer.
 	Elapsed time.Duration
+	// Load is what the target said of itself; nil where it said nothing.
+	Load *Load
+}
+
+// Load is what a target says of itself in an answer.
+type Load struct {
+	// Running and Waiting count the requests of all daemons.
+	Running, Waiting int
 }
 
 // Finish ends a granted job and frees its slot.
@@ -37,9 +47,15 @@
 	if !g.pending {
 		s.beginPending(now, t)
 	}
-	if r.Draining {
+	if r.Draining || r.Misdirected {
 		t.leave(now)
 	}
+	if r.Load != nil {
+		t.others, t.othersAt = max(0, r.Load.Running+r.Load.Waiting-t.running-1), now
+	}
+	if failed, known := r.failed(); known {
+		t.belief.Observe(now, failed)
+	}
 	s.learn(now, g, r)
 	s.tellAbsent(now)
 }
@@ -54,6 +70,19 @@
 	}
 }
 
+// failed tells whether the result is a failure of the target, and whether it
+// says anything about it.
+func (r Result) failed() (failed, known bool) {
+	switch r.Ending {
+	case outcome.Answered:
+		return r.Wrong, true
+	case outcome.NotWritten, outcome.BodyFailed, outcome.Cancelled:
+		return false, false
+	default:
+		return true, true
+	}
+}
+
 // learn draws the conclusions about the target and the request.
 func (s *Scheduler) learn(now time.Time, g *grant, r Result) {
 	t, job := g.target, g.job
@@ -94,8 +123,28 @@
 	s.observe(now, sample)
 }
 
+const (
+	// overdueTimes is how many times its route's mean a request runs when it is
+	// overdue. Work with a long tail passes it now and then, which costs its
+	// target a little work.
+	overdueTimes = 4
+	// minOverdue keeps short work from being overdue by a pause of the process.
+	minOverdue = 200 * time.Millisecond
+)
+
+// markOverdue notes the targets with requests that run far longer than usual.
+// A target that hangs is known by that long before its first time-out.
+func (s *Scheduler) markOverdue(now time.Time) {
+	for _, g := range s.granted {
+		mean := s.estimate(g.job.Route.Name).mean()
+		if mean > 0 && !g.pending && now.Sub(g.since) > max(minOverdue, overdueTimes*mean) {
+			g.target.overdue = now
+		}
+	}
+}
+
 func (s *Scheduler) observe(now time.Time, sample health.Sample) {
-	if s.judge.Observe(now, sample) {
+	if s.policy.Evidence > 0 && s.judge.Observe(now, sample) {
 		s.counts.Ejected++
 	}
 }
@@ -108,7 +157,7 @@
 	}
 	s.ticked = now
 	for _, t := range s.targets {
-		t.recover(elapsed, s.policy.Slots)
+		t.recover(elapsed, s.slots(t.endpoint))
 	}
 	for _, e := range s.times {
 		e.decay(elapsed)
@@ -117,6 +166,10 @@
 		s.observe(now, health.Sample{Target: name, Wrong: true})
 	}
 	s.tellAbsent(now)
+	s.markOverdue(now)
+	if s.policy.Evidence == 0 {
+		return
+	}
 	s.judge.Tick(now)
 	s.counts.Ejected += int64(len(s.judge.ObserveRunning(now, s.running(now))))
 }
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -12,6 +12,7 @@
 	"github.com/briarrouter/briarrouter/health"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/quarantine"
+	"github.com/briarrouter/briarrouter/unit"
 	"github.com/briarrouter/briarrouter/work"
 )
 
@@ -45,11 +46,28 @@
 	Kind Kind
 	// Endpoint is set where the kind is Granted.
 	Endpoint Endpoint
+	// Inputs is what the choice of the endpoint was based on.
+	Inputs Inputs
 	// Reason and RetryAfter are set where the kind is Refused.
 	Reason     work.Reason
 	RetryAfter time.Duration
 }
 
+// Inputs is what a target was chosen by; for the log.
+type Inputs struct {
+	// Targets is how many targets were listed, Eligible how many could be
+	// chosen.
+	Targets, Eligible int
+	// Running is how many requests of this daemon the target had, Load that
+	// with the requests of others as far as they are known.
+	Running int
+	Load    float64
+	// Sick is the probability that the target fails, and Age how old the last
+	// outcome is that it rests on; negative where there was none.
+	Sick float64
+	Age  time.Duration
+}
+
 // Event is a decision about a job that was waiting.
 type Event struct {
 	Ticket   Ticket
@@ -112,7 +130,7 @@
 	next := make(map[id.Target]*target)
 	for _, e := range list {
 		t := known[e.ID]
-		if t == nil || t.endpoint.Address != e.Address {
+		if t == nil || !t.endpoint.Same(e) {
 			t = s.newTarget(now, e, first)
 		}
 		t.endpoint = e
@@ -133,13 +151,21 @@
 // newTarget returns a target that warms up, but for those of the first list:
 // a daemon that starts must not take the whole service for cold.
 func (s *Scheduler) newTarget(now time.Time, e Endpoint, first bool) *target {
-	t := &target{limit: float64(s.policy.Slots), warmSince: now}
+	t := &target{limit: float64(s.slots(e)), warmSince: now}
 	if first {
 		t.warmSince = now.Add(-s.policy.Warmup)
 	}
 	return t
 }
 
+// slots returns how many requests a target runs at the same time.
+func (s *Scheduler) slots(e Endpoint) unit.Slots {
+	if e.Slots > 0 {
+		return e.Slots
+	}
+	return s.policy.Slots
+}
+
 // SetLeaving records a sign that the target at an address is leaving.
 func (s *Scheduler) SetLeaving(now time.Time, address id.Address) {
 	for _, t := range s.targets {
@@ -279,5 +305,11 @@
 // Health returns where a target stands.
 func (s *Scheduler) Health(name id.Target) health.State { return s.judge.State(name) }
 
+// Waiting returns how many jobs wait.
+func (s *Scheduler) Waiting() int { return s.queue.len() }
+
+// Targets returns how many targets are listed.
+func (s *Scheduler) Targets() int { return len(s.targets) }
+
 // Counts returns what was decided so far.
 func (s *Scheduler) Counts() Counts { return s.counts }
--- a/schedule/state.go
+++ b/schedule/state.go
@@ -18,6 +18,8 @@
 	// Why says in words why the target takes no work or less work.
 	Why    string
 	Health health.TargetState
+	// Sick is the probability that the target fails now.
+	Sick float64
 }
 
 // State is the scheduler's part of a dump.
@@ -35,7 +37,7 @@
 		st.Targets = append(st.Targets, TargetState{
 			Target: t.endpoint.ID, Address: t.endpoint.Address, Running: t.running, Long: t.long,
 			Capacity: s.targetCapacity(now, t), Leaving: t.leaving,
-			Why: s.why(now, t), Health: s.judge.TargetState(t.endpoint.ID),
+			Why: s.why(now, t), Health: s.judge.TargetState(t.endpoint.ID), Sick: t.sick(now),
 		})
 	}
 	return st
@@ -52,7 +54,7 @@
 		return "the evidence of slow or wrong answers reached the bound; ejected until " + state.Until.Format(time.TimeOnly)
 	case state.State == health.Trial:
 		return "it returns from an ejection"
-	case s.targetCapacity(now, t) < int(s.policy.Slots):
+	case s.targetCapacity(now, t) < int(s.slots(t.endpoint)):
 		return "it shed load or warms up"
 	default:
 		return ""
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -5,6 +5,7 @@
 
 	"github.com/briarrouter/briarrouter/health"
 	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/suspicion"
 	"github.com/briarrouter/briarrouter/unit"
 )
 
@@ -15,6 +16,17 @@
 	FailureDomain id.FailureDomain
 	// Leaving tells that the platform knows that the target goes away.
 	Leaving bool
+	// Incarnation tells two processes apart that are listed under one ID, one
+	// after the other; zero where the platform does not tell.
+	Incarnation uint64
+	// Slots is how many requests the target runs at the same time; zero where
+	// the policy's number holds.
+	Slots unit.Slots
+}
+
+// Same tells whether two entries describe the same process.
+func (e Endpoint) Same(f Endpoint) bool {
+	return e.ID == f.ID && e.Address == f.Address && e.Incarnation == f.Incarnation
 }
 
 const (
@@ -49,6 +61,38 @@
 	unfitFor   time.Duration
 	// warmSince is when the target was first seen.
 	warmSince time.Time
+	// belief is whether the target fails at this moment.
+	belief suspicion.Belief
+	// overdue is when a request was last seen to run far longer than usual.
+	overdue time.Time
+	// others is how many requests of other daemons the target had at othersAt.
+	others   int
+	othersAt time.Time
+}
+
+const (
+	// othersFade is how long what a target said of its load is of use.
+	othersFade = 300 * time.Millisecond
+	// overdueSick is the probability of being sick of a target with a request
+	// that runs far longer than usual.
+	overdueSick = 0.7
+	// overdueFade is how long a request that was seen overdue counts.
+	overdueFade = 100 * time.Millisecond
+)
+
+// load returns how many requests the target has, as far as it is known.
+func (t *target) load(now time.Time) float64 {
+	left := 1 - float64(now.Sub(t.othersAt))/float64(othersFade)
+	return float64(t.running) + float64(t.others)*max(0, left)
+}
+
+// sick returns the probability that the target fails now.
+func (t *target) sick(now time.Time) float64 {
+	p := t.belief.Sick(now)
+	if now.Sub(t.overdue) < overdueFade {
+		return max(p, overdueSick)
+	}
+	return p
 }
 
 // capacity returns how many requests the target may run now.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -22,10 +22,34 @@
 	Callers  id.Address
 	Peers    id.Address
 	Operator id.Address
-	// Platform has at least one address of the platform's service.
+	// Platform has at least one address of the service that publishes in the
+	// project's own format; empty where Store is set.
 	Platform []id.Address
-	Limits   Limits
-	Timing   Timing
+	// Store is the users' platform; its address is empty where Platform is set.
+	Store Store
+	// Directory is where callers and the platform of Store ask; its addresses
+	// are set where Store is.
+	Directory Directory
+	// Seeds lists peers to ask first. They may be down, or be no daemons.
+	Seeds  []id.Address
+	Limits Limits
+	Timing Timing
+}
+
+// Store is the store of the users' platform.
+type Store struct {
+	Address id.Address
+	// Terms is what the platform asks of its users, in its own notation; package
+	// platform reads it.
+	Terms string
+}
+
+// Directory is the addresses that answer questions before any request.
+type Directory struct {
+	// Resolve answers callers who ask where to connect.
+	Resolve id.Address
+	// Ready answers whether this daemon takes callers.
+	Ready id.Address
 }
 
 // Limits bounds what callers, targets and peers can make a daemon hold.
@@ -53,6 +77,11 @@
 	// Hold is how long a caller may keep an answer about addresses. A daemon
 	// that stops serves for at least this long after it left the answers.
 	Hold time.Duration
+	// LeaveMargin is the time that the news of leaving may take to reach the
+	// daemons that answer callers.
+	LeaveMargin time.Duration
+	// Stop bounds the time of a stop; zero waits for every request.
+	Stop time.Duration
 	// Epoch is how long one epoch of idempotency keys takes.
 	Epoch time.Duration
 	// Probe is the time between two probes of peers.
@@ -97,7 +126,17 @@
 	refuseSame(listen, "Peers", d.Peers, "Callers", d.Callers)
 	refuseSame(listen, "Operator", d.Operator, "Callers", d.Callers)
 	refuseSame(listen, "Operator", d.Operator, "Peers", d.Peers)
-	d.Platform = f.Section("Platform").Addresses("Addresses")
+	if peers := f.Optional("Peers"); peers.Has("Seeds") && peers.TextOr("Seeds", "") != "" {
+		d.Seeds = peers.Addresses("Seeds")
+	}
+	if !f.Optional("Store").Has("Address") {
+		d.Platform = f.Section("Platform").Addresses("Addresses")
+		return
+	}
+	store := f.Section("Store")
+	d.Store = Store{Address: store.Address("Address"), Terms: store.TextOr("Terms", "")}
+	directory := f.Section("Directory")
+	d.Directory = Directory{Resolve: directory.Address("Resolve"), Ready: directory.Address("Ready")}
 }
 
 func refuseSame(s *inifile.Section, key string, address id.Address, other string, taken id.Address) {
@@ -129,12 +168,14 @@
 func readTiming(f *inifile.File) Timing {
 	s := f.Optional("Timing")
 	t := Timing{
-		Hold:       s.DurationOr("Hold", time.Second, 10*time.Minute, 5*time.Second),
-		Epoch:      s.DurationOr("Epoch", 10*time.Second, 24*time.Hour, 10*time.Minute),
-		Probe:      s.DurationOr("Probe", 100*time.Millisecond, 10*time.Second, time.Second),
-		Suspect:    s.DurationOr("Suspect", 500*time.Millisecond, time.Minute, 2*time.Second),
-		Join:       s.DurationOr("Join", 100*time.Millisecond, time.Minute, 2*time.Second),
-		SlowCaller: s.DurationOr("SlowCaller", time.Second, 10*time.Minute, 10*time.Second),
+		Hold:        s.DurationOr("Hold", time.Second, 10*time.Minute, 5*time.Second),
+		LeaveMargin: s.DurationOr("LeaveMargin", 0, time.Minute, 2*time.Second),
+		Stop:        s.DurationOr("Stop", 0, time.Hour, 0),
+		Epoch:       s.DurationOr("Epoch", 10*time.Second, 24*time.Hour, 10*time.Minute),
+		Probe:       s.DurationOr("Probe", 100*time.Millisecond, 10*time.Second, time.Second),
+		Suspect:     s.DurationOr("Suspect", 500*time.Millisecond, time.Minute, 2*time.Second),
+		Join:        s.DurationOr("Join", 100*time.Millisecond, time.Minute, 2*time.Second),
+		SlowCaller:  s.DurationOr("SlowCaller", time.Second, 10*time.Minute, 10*time.Second),
 	}
 	if t.Suspect < t.Probe {
 		s.Problem("Suspect", "shorter than Probe", "at least "+t.Probe.String())
--- a/steering/steering.go
+++ b/steering/steering.go
@@ -130,3 +130,19 @@
 	}
 	return append(slices.Clone(ranked[first:]), ranked[:first]...)
 }
+
+// shared is the service by whose rank callers are steered who use one set of
+// daemons for all services.
+const shared id.Service = ""
+
+// Shared returns the members that callers of every service use, at most n. A
+// few daemons see many requests each, so that each soon knows how the targets
+// do; standing in different failure domains, they are seldom lost together.
+// While no member is known to serve, it is this daemon.
+func (o *Order) Shared(self roster.Member, n int) []roster.Member {
+	ranked := o.Rank(shared)
+	if len(ranked) == 0 {
+		return []roster.Member{self}
+	}
+	return ranked[:min(n, len(ranked))]
+}
