Share what daemons see of targets; wait for the first configuration

Change: the daemons that callers are steered to follow each other's sightings (outcomes and running requests by target); a request waits up to 0.6 s, at most a third of its time, for the first configuration; a start reads for itself after 0.4 s. Ruled out: that restarts lacked targets (both come in one listing).

--- /dev/null
+++ b/backlog/backlog_test.go
@@ -0,0 +1,32 @@
+package backlog
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestSince follows a log of three entries from each place.
+func TestSince(t *testing.T) {
+	l := New[int](3)
+	l.Append([]int{1, 2})
+	changed := l.Changed()
+	l.Append(nil)
+	select {
+	case <-changed:
+		t.Fatal("an empty addition wakes the readers")
+	default:
+	}
+	l.Append([]int{3, 4})
+	<-changed
+	for c, want := range map[Cursor][]int{1: {2, 3, 4}, 2: {3, 4}, 4: nil} {
+		got, ok := l.Since(c)
+		require.True(t, ok)
+		require.Equal(t, want, got)
+	}
+	for _, c := range []Cursor{0, 5} {
+		_, ok := l.Since(c)
+		require.False(t, ok, "cursor %d", c)
+	}
+	require.Equal(t, Cursor(4), l.End())
+}
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 
 	"github.com/briarrouter/briarrouter/id"
@@ -34,6 +35,9 @@
 	refused atomic.Pointer[Refusal]
 	// conflicts counts offers whose number was in force with other contents.
 	conflicts atomic.Int64
+	// first is closed when the first configuration is in force.
+	first     chan struct{}
+	firstOnce sync.Once
 }
 
 // Refusal is the last configuration that was refused, and why.
@@ -47,7 +51,7 @@
 	if cfg.Format == nil {
 		cfg.Format = INI{}
 	}
-	return &Store{log: cfg.Log, format: cfg.Format}
+	return &Store{log: cfg.Log, format: cfg.Format, first: make(chan struct{})}
 }
 
 // Start does nothing: the store has no work of its own.
@@ -59,6 +63,16 @@
 // Current returns the configuration in force, or nil.
 func (s *Store) Current() *Snapshot { return s.current.Load() }
 
+// Await returns the configuration in force, and waits for the first one while
+// the context lasts. It returns nil where none came.
+func (s *Store) Await(ctx context.Context) *Snapshot {
+	select {
+	case <-s.first:
+	case <-ctx.Done():
+	}
+	return s.Current()
+}
+
 // Version returns the version in force, or the zero version.
 func (s *Store) Version() id.ConfigVersion {
 	if c := s.Current(); c != nil {
@@ -97,6 +111,7 @@
 			return verdict
 		}
 		if s.current.CompareAndSwap(old, next) {
+			s.firstOnce.Do(func() { close(s.first) })
 			s.log.Info().Str("Source", source).Stringer("Version", next.Version).Msg("configuration in force")
 			return Accepted
 		}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/briarrouter/briarrouter/backlog"
 	"github.com/briarrouter/briarrouter/configuration"
 	"github.com/briarrouter/briarrouter/departure"
 	"github.com/briarrouter/briarrouter/exchange"
@@ -58,10 +59,17 @@
 	cfg      Config
 	lists    targetLists
 	policies policies
+	kernel   *kernel.Kernel
 	context  context.Context
 	cancel   context.CancelFunc
+	group    conc.WaitGroup
+	// wake and wakeNow hold a wish to tell what was seen, soon or at once.
+	wake, wakeNow chan struct{}
 
 	mu sync.Mutex
+	// companions has an entry for each daemon whose sightings are followed.
+	companions map[id.Host]*companion
+	sightings  *backlog.Log[schedule.Sighting]
 	// services has an entry for each service that was taken up.
 	services map[id.Service]*serviceDispatcher
 	// known holds the quarantines of the whole fleet, as far as they were
@@ -75,11 +83,16 @@
 
 // New returns a dispatcher without services.
 func New(cfg Config) *Dispatcher {
-	return &Dispatcher{cfg: cfg, services: make(map[id.Service]*serviceDispatcher), known: quarantine.New(), departed: departure.New(), urgent: make(chan id.Service, 1)}
+	return &Dispatcher{
+		cfg: cfg, services: make(map[id.Service]*serviceDispatcher), known: quarantine.New(), departed: departure.New(),
+		urgent: make(chan id.Service, 1), wake: make(chan struct{}, 1), wakeNow: make(chan struct{}, 1),
+		companions: make(map[id.Host]*companion), sightings: backlog.New[schedule.Sighting](maxSightings),
+	}
 }
 
 // Start finds the lists of targets and the policies.
 func (d *Dispatcher) Start(_ context.Context, k *kernel.Kernel) error {
+	d.kernel = k
 	var err error
 	if d.lists, err = kernel.Find[targetLists](k, "targets"); err != nil {
 		return err
@@ -88,20 +101,27 @@
 		return err
 	}
 	d.context, d.cancel = context.WithCancel(context.Background())
+	d.group.Go(func() { d.loop(d.context) })
 	return nil
 }
 
 // Stop ends the services. Requests in progress must have ended.
 func (d *Dispatcher) Stop(context.Context) error {
 	d.cancel()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, s := range d.services {
+	for _, s := range d.all() {
 		s.stop()
 	}
+	d.group.Wait()
 	return nil
 }
 
+// all returns the services that were taken up.
+func (d *Dispatcher) all() []*serviceDispatcher {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Collect(maps.Values(d.services))
+}
+
 // Run runs a request on a target of its service and returns the answer.
 func (d *Dispatcher) Run(ctx context.Context, req *work.Request, m configuration.Match) work.Answer {
 	if d.quarantined(req.Fingerprint()) {
@@ -168,9 +188,8 @@
 func (d *Dispatcher) LearnDepartures(notices []departure.Notice) {
 	d.mu.Lock()
 	fresh := d.departed.Learn(time.Now(), notices)
-	services := slices.Collect(maps.Values(d.services))
 	d.mu.Unlock()
-	for _, s := range services {
+	for _, s := range d.all() {
 		s.setLeaving(fresh)
 	}
 }
--- a/dispatch/handle.go
+++ b/dispatch/handle.go
@@ -98,6 +98,7 @@
 	s.last++
 	job.Ticket = s.last
 	decision := s.scheduler.Arrive(now, *job)
+	s.owner.tell(false)
 	if decision.Kind != schedule.Waiting {
 		return decision, nil
 	}
@@ -137,6 +138,7 @@
 	s.scheduler.Finish(now, ticket, r)
 	s.report(before)
 	s.deliver(now)
+	s.owner.tell(r.Ending != outcome.Answered || r.Wrong)
 }
 
 // maxDials bounds the targets that are tried while none can be reached.
--- a/peer/contact.go
+++ b/peer/contact.go
@@ -28,7 +28,7 @@
 	contactTimeout = 500 * time.Millisecond
 	// contactEvery is the time between two questions while no daemon is known
 	// at the address, contactSlow that after the fleet was found elsewhere.
-	contactEvery = 200 * time.Millisecond
+	contactEvery = 60 * time.Millisecond
 	contactSlow  = 3 * time.Second
 )
 
--- a/peer/feed.go
+++ b/peer/feed.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/briarrouter/briarrouter/backlog"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/kernel"
 	"github.com/briarrouter/briarrouter/peer/peerpb"
@@ -17,118 +18,162 @@
 	"github.com/briarrouter/briarrouter/schedule"
 	"github.com/briarrouter/briarrouter/unit"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 )
 
-// feedPath is where a daemon's feed is read.
-const feedPath = "/feed"
+// feedPath is where a daemon's feed is read, sightingPath where what it sees of
+// targets is.
+const (
+	feedPath     = "/feed"
+	sightingPath = "/sightings"
+)
 
 const (
-	// feedBeat is the longest time between two messages of a feed.
-	feedBeat = 300 * time.Millisecond
-	// feedSilence is how long a follower waits for a message.
-	feedSilence = 3 * feedBeat
-	// feedDial bounds the making of a connection to a peer.
-	feedDial = 300 * time.Millisecond
-	// maxFeedMessage bounds a message: a whole listing of the size to come with
+	// streamBeat is the longest time between two messages of a stream.
+	streamBeat = 300 * time.Millisecond
+	// streamSilence is how long a follower waits for a message.
+	streamSilence = 3 * streamBeat
+	// streamDial bounds the making of a connection to a peer.
+	streamDial = 300 * time.Millisecond
+	// maxStreamMessage bounds a message: a whole listing of the size to come with
 	// its configuration.
-	maxFeedMessage = 16 * unit.MiB
+	maxStreamMessage = 16 * unit.MiB
 )
 
 // changes is the feed of this daemon.
 type changes interface {
-	Changes(c registry.Cursor, first bool) (registry.Message, registry.Cursor, <-chan struct{})
+	Changes(c backlog.Cursor, first bool) (registry.Message, backlog.Cursor, <-chan struct{})
 }
 
-// feedServer sends this daemon's feed to a follower.
-type feedServer struct{ *Service }
+// stream sends messages to a follower until it leaves or this daemon stops.
+type stream struct {
+	service *Service
+	// next returns the next message, and a channel that is closed when there is
+	// more.
+	next func() (proto.Message, <-chan struct{})
+}
 
-// ServeHTTP sends messages until the follower leaves or this daemon stops.
-func (s feedServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	source, err := kernel.Find[changes](s.kernel, registry.ServiceName)
-	if err != nil {
-		http.Error(w, "this daemon has no feed", http.StatusNotFound)
-		return
-	}
+// ServeHTTP sends the messages.
+func (s stream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	control := http.NewResponseController(w)
-	message, cursor, more := source.Changes(0, true)
-	timer := time.NewTimer(feedBeat)
+	timer := time.NewTimer(streamBeat)
 	defer timer.Stop()
 	for {
-		if err := control.SetWriteDeadline(time.Now().Add(feedSilence)); err != nil {
+		message, more := s.next()
+		if err := control.SetWriteDeadline(time.Now().Add(streamSilence)); err != nil {
 			return
 		}
-		if _, err := protodelim.MarshalTo(w, encodeMessage(message)); err != nil {
+		if _, err := protodelim.MarshalTo(w, message); err != nil {
 			return
 		}
 		if err := control.Flush(); err != nil {
 			return
 		}
-		timer.Reset(feedBeat)
+		timer.Reset(streamBeat)
 		select {
 		case <-more:
 		case <-timer.C:
 		case <-r.Context().Done():
 			return
-		case <-s.feeds.Done():
+		case <-s.service.feeds.Done():
 			return
 		}
-		message, cursor, more = source.Changes(cursor, false)
 	}
 }
 
+// feedStream returns the stream of this daemon's feed.
+func (s *Service) feedStream() (stream, error) {
+	source, err := kernel.Find[changes](s.kernel, registry.ServiceName)
+	if err != nil {
+		return stream{}, err
+	}
+	var cursor backlog.Cursor
+	first := true
+	return stream{s, func() (proto.Message, <-chan struct{}) {
+		message, next, more := source.Changes(cursor, first)
+		cursor, first = next, false
+		return encodeMessage(message), more
+	}}, nil
+}
+
+// sightingStream returns the stream of what this daemon sees of targets.
+func (s *Service) sightingStream() stream {
+	var cursor backlog.Cursor
+	first := true
+	return stream{s, func() (proto.Message, <-chan struct{}) {
+		list, next, more := s.sightings.Sightings(cursor, first)
+		cursor, first = next, false
+		return encodeSightings(list), more
+	}}
+}
+
 var errNoLink = errors.New("peer is not known")
 
 // Follow calls take for each message of a peer's feed until the context ends or
 // the peer does not answer, and returns why.
 func (s *Service) Follow(ctx context.Context, host id.Host, take func(registry.Message)) error {
+	var m peerpb.FeedMessage
+	return s.follow(ctx, host, feedPath, &m, func() { take(decodeMessage(&m)) })
+}
+
+// FollowSightings calls take for what a peer sees of targets until the context
+// ends or the peer does not answer, and returns why.
+func (s *Service) FollowSightings(ctx context.Context, host id.Host, take func([]schedule.Sighting)) error {
+	var m peerpb.SightingMessage
+	return s.follow(ctx, host, sightingPath, &m, func() { take(decodeSightings(&m)) })
+}
+
+// follow reads the messages of a stream, one after the other, into m.
+func (s *Service) follow(ctx context.Context, host id.Host, path string, m proto.Message, take func()) error {
 	l := s.link(host)
 	if l == nil {
 		return errNoLink
 	}
-	dialer := &net.Dialer{Timeout: feedDial, KeepAlive: -1}
+	dialer := &net.Dialer{Timeout: streamDial, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", string(l.address))
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	return follow(conn, string(l.address), take)
+	reader, err := openStream(conn, string(l.address), path)
+	if err != nil {
+		return err
+	}
+	options := protodelim.UnmarshalOptions{MaxSize: int64(maxStreamMessage)}
+	for {
+		if err := conn.SetReadDeadline(time.Now().Add(streamSilence)); err != nil {
+			return err
+		}
+		if err := options.UnmarshalFrom(reader, m); err != nil {
+			return fmt.Errorf("stream %s of a peer: %w", path, unexpected(err))
+		}
+		take()
+	}
 }
 
-// follow reads a feed from a connection.
-func follow(conn net.Conn, address string, take func(registry.Message)) error {
-	if err := conn.SetDeadline(time.Now().Add(feedSilence)); err != nil {
-		return err
+func openStream(conn net.Conn, address, path string) (*bufio.Reader, error) {
+	if err := conn.SetDeadline(time.Now().Add(streamSilence)); err != nil {
+		return nil, err
 	}
-	req, err := http.NewRequest(http.MethodGet, "http://"+address+feedPath, nil)
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if err := req.Write(conn); err != nil {
-		return err
+		return nil, err
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("feed of a peer: status %d", resp.StatusCode)
-	}
-	reader := bufio.NewReader(resp.Body)
-	for {
-		if err := conn.SetReadDeadline(time.Now().Add(feedSilence)); err != nil {
-			return err
-		}
-		var m peerpb.FeedMessage
-		if err := (protodelim.UnmarshalOptions{MaxSize: int64(maxFeedMessage)}).UnmarshalFrom(reader, &m); err != nil {
-			return fmt.Errorf("feed of a peer: %w", unexpected(err))
-		}
-		take(decodeMessage(&m))
+		return nil, fmt.Errorf("stream %s of a peer: status %d", path, resp.StatusCode)
 	}
+	return bufio.NewReader(resp.Body), nil
 }
 
-// unexpected names the end of a feed: it has none of its own.
+// unexpected names the end of a stream: it has none of its own.
 func unexpected(err error) error {
 	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
@@ -136,6 +181,28 @@
 	return err
 }
 
+func encodeSightings(list []schedule.Sighting) *peerpb.SightingMessage {
+	m := &peerpb.SightingMessage{}
+	for _, g := range list {
+		m.Sightings = append(m.Sightings, &peerpb.Sighting{
+			Service: string(g.Service), Target: string(g.Target), Incarnation: g.Incarnation,
+			Failures: uint32(g.Failures), Successes: uint32(g.Successes), LastFailed: g.LastFailed, Running: uint32(g.Running),
+		})
+	}
+	return m
+}
+
+func decodeSightings(m *peerpb.SightingMessage) []schedule.Sighting {
+	var list []schedule.Sighting
+	for _, g := range m.GetSightings() {
+		list = append(list, schedule.Sighting{
+			Service: id.Service(g.GetService()), Target: id.Target(g.GetTarget()), Incarnation: g.GetIncarnation(),
+			Failures: int(g.GetFailures()), Successes: int(g.GetSuccesses()), LastFailed: g.GetLastFailed(), Running: int(g.GetRunning()),
+		})
+	}
+	return list
+}
+
 func encodeMessage(m registry.Message) *peerpb.FeedMessage {
 	f := &peerpb.FeedMessage{At: uint64(m.Listing.At), Whole: m.Listing.Whole, AgeMilliseconds: m.Age.Milliseconds()}
 	if m.Age < 0 {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/briarrouter/briarrouter/backlog"
 	"github.com/briarrouter/briarrouter/configuration"
 	"github.com/briarrouter/briarrouter/departure"
 	"github.com/briarrouter/briarrouter/id"
@@ -22,6 +23,7 @@
 	"github.com/briarrouter/briarrouter/quarantine"
 	"github.com/briarrouter/briarrouter/roster"
 	"github.com/briarrouter/briarrouter/router"
+	"github.com/briarrouter/briarrouter/schedule"
 	"github.com/briarrouter/briarrouter/settings"
 	"github.com/briarrouter/briarrouter/work"
 	"github.com/rs/zerolog"
@@ -47,6 +49,9 @@
 	LearnQuarantines(notices []quarantine.Notice)
 	Departures(n int) []departure.Notice
 	LearnDepartures(notices []departure.Notice)
+	// Sightings returns what was seen of targets behind a cursor, where the
+	// sequence goes on, and a channel that is closed when there is more.
+	Sightings(c backlog.Cursor, first bool) ([]schedule.Sighting, backlog.Cursor, <-chan struct{})
 	// Urgent gives services with news that their standbys need at once.
 	Urgent() <-chan id.Service
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -18,14 +18,20 @@
 func (s *Service) routes() http.Handler {
 	calls := peerpb.NewPeerServer(server{s})
 	relays := relayServer{s}
-	feed := feedServer{s}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
 		case strings.HasPrefix(r.URL.Path, calls.PathPrefix()):
 			r.Body = http.MaxBytesReader(w, r.Body, maxMessage)
 			calls.ServeHTTP(w, r)
 		case r.RequestURI == feedPath:
+			feed, err := s.feedStream()
+			if err != nil {
+				http.Error(w, "this daemon has no feed", http.StatusNotFound)
+				return
+			}
 			feed.ServeHTTP(w, r)
+		case r.RequestURI == sightingPath:
+			s.sightingStream().ServeHTTP(w, r)
 		case strings.HasPrefix(r.RequestURI, relayPath+"/"):
 			relays.ServeHTTP(w, r)
 		default:
--- a/registry/choice.go
+++ b/registry/choice.go
@@ -23,7 +23,7 @@
 	patience = 1400 * time.Millisecond
 	// startPatience is how long a starting daemon waits for peers before it
 	// reads for itself, unless it is one of the addresses that others ask first.
-	startPatience = time.Second
+	startPatience = 400 * time.Millisecond
 	// badTime is how long a reader that failed is not followed.
 	badTime = time.Second
 	// calmTime is how long others must have been good before a daemon that reads
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/briarrouter/briarrouter/backlog"
 	"github.com/briarrouter/briarrouter/clock"
 	"github.com/briarrouter/briarrouter/configuration"
 	"github.com/briarrouter/briarrouter/id"
@@ -60,6 +61,10 @@
 	Follow(ctx context.Context, host id.Host, take func(Message)) error
 }
 
+// maxFeed is how many updates a feed holds. A follower that is further behind
+// gets everything instead.
+const maxFeed = 1024
+
 // Message is a part of a daemon's feed.
 type Message struct {
 	Listing Listing
@@ -87,7 +92,7 @@
 
 	mu      sync.Mutex
 	view    *View
-	feed    feed
+	feed    *backlog.Log[Update]
 	chooser *chooser
 	// confirmed is as of when the copy is complete, by source; the platform is
 	// the empty host. Sources that are no longer read from stay until they are
@@ -99,8 +104,6 @@
 	followers map[id.Host]*follower
 	// watchers holds who wants to hear of a service's targets.
 	watchers map[id.Service][]*watcher
-	// changed is closed and made anew when the feed grows.
-	changed chan struct{}
 	// fleet is the ranked daemons as of the roster's generation.
 	fleet      []Reader
 	generation uint64
@@ -114,7 +117,7 @@
 func New(cfg Config) *Registry {
 	return &Registry{
 		cfg: cfg, view: NewView(), confirmed: make(map[id.Host]time.Time), followers: make(map[id.Host]*follower),
-		watchers: make(map[id.Service][]*watcher), changed: make(chan struct{}),
+		watchers: make(map[id.Service][]*watcher), feed: backlog.New[Update](maxFeed),
 	}
 }
 
@@ -141,20 +144,24 @@
 	return nil
 }
 
-// tick is the time between two looks at the sources and at targets in doubt.
-const tick = 100 * time.Millisecond
+const (
+	// tick is the time between two looks at the sources and at targets in doubt.
+	tick = 100 * time.Millisecond
+	// startTick is the time between two looks before there is a copy.
+	startTick = 20 * time.Millisecond
+)
 
 // loop chooses the sources and lets time pass for the view.
 func (r *Registry) loop(ctx context.Context) {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
 		r.turn(time.Now())
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
+		r.mu.Lock()
+		pause := tick
+		if r.view.At() == 0 {
+			pause = startTick
 		}
+		r.mu.Unlock()
+		clock.Sleep(ctx, pause)
 	}
 }
 
@@ -258,9 +265,7 @@
 		return
 	}
 	r.mu.Lock()
-	r.feed.append(effects)
-	close(r.changed)
-	r.changed = make(chan struct{})
+	r.feed.Append(effects)
 	document := r.view.Configuration()
 	r.mu.Unlock()
 	services := make(map[id.Service]bool)
@@ -350,17 +355,17 @@
 // Changes returns what a follower at a cursor needs, where the feed goes on,
 // and a channel that is closed when there is more. A cursor of another process
 // must not be given.
-func (r *Registry) Changes(c Cursor, first bool) (Message, Cursor, <-chan struct{}) {
+func (r *Registry) Changes(c backlog.Cursor, first bool) (Message, backlog.Cursor, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := Message{Age: r.age(time.Now(), true)}
-	updates, ok := r.feed.since(c)
+	updates, ok := r.feed.Since(c)
 	if first || !ok {
 		m.Listing = r.view.Everything()
 	} else {
-		m.Listing = Listing{Updates: slices.Clone(updates), At: r.view.At()}
+		m.Listing = Listing{Updates: updates, At: r.view.At()}
 	}
-	return m, r.feed.end, r.changed
+	return m, r.feed.End(), r.feed.Changed()
 }
 
 // State is the registry's part of a dump.
--- a/router/prepare.go
+++ b/router/prepare.go
@@ -58,7 +58,7 @@
 
 const (
 	// prepareEvery is the time between two looks at what to prepare.
-	prepareEvery = 500 * time.Millisecond
+	prepareEvery = 200 * time.Millisecond
 	// prepared is how many daemons of a service know its targets beforehand.
 	prepared = 3
 )
@@ -86,6 +86,9 @@
 
 func (r *Router) prepare(snapshot *configuration.Snapshot) {
 	self := r.peers.Self()
+	if r.local {
+		r.runner.Accompany(companions(r.ranks.sharedList(r.peers), self))
+	}
 	for name, policy := range snapshot.Services {
 		if r.local {
 			r.runner.Prepare(policy)
@@ -99,3 +102,21 @@
 		}
 	}
 }
+
+// companions returns the other daemons that callers of every service use, if
+// this daemon is one of them.
+func companions(shared []roster.Member, self roster.Member) []id.Host {
+	var hosts []id.Host
+	among := false
+	for _, m := range shared {
+		if m.Host == self.Host {
+			among = true
+			continue
+		}
+		hosts = append(hosts, m.Host)
+	}
+	if !among {
+		return nil
+	}
+	return hosts
+}
--- a/router/router.go
+++ b/router/router.go
@@ -47,12 +47,16 @@
 // policies gives the configuration in force.
 type policies interface {
 	Current() *configuration.Snapshot
+	// Await waits for the first configuration while the context lasts.
+	Await(ctx context.Context) *configuration.Snapshot
 }
 
 // runner runs requests on targets.
 type runner interface {
 	Run(ctx context.Context, req *work.Request, m configuration.Match) work.Answer
 	Prepare(s *configuration.Service)
+	// Accompany names the daemons that run requests of the same services.
+	Accompany(hosts []id.Host)
 }
 
 // peers is the other daemons.
@@ -151,6 +155,9 @@
 
 func (r *Router) handle(ctx context.Context, req *work.Request, purpose Purpose) work.Answer {
 	snapshot := r.policies.Current()
+	if snapshot == nil {
+		snapshot = r.await(ctx, req)
+	}
 	if snapshot == nil {
 		return r.refuse(req, purpose, http.StatusServiceUnavailable, work.NoConfiguration)
 	}
@@ -170,6 +177,25 @@
 	return r.place(ctx, req, m)
 }
 
+// firstConfiguration is how long a request waits for the first configuration.
+// A daemon that was just started has one within some hundreds of milliseconds;
+// one that has none by then does not know when it will.
+const firstConfiguration = 600 * time.Millisecond
+
+// firstShare is the part of a request's time that it may wait for the first
+// configuration.
+const firstShare = 3
+
+func (r *Router) await(ctx context.Context, req *work.Request) *configuration.Snapshot {
+	limit := firstConfiguration
+	if !req.Deadline.IsZero() {
+		limit = min(limit, time.Until(req.Deadline)/firstShare)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return r.policies.Await(ctx)
+}
+
 // refuse answers a request that cannot be led anywhere. Where the request has
 // a key, an earlier arrival with the key may have run.
 func (r *Router) refuse(req *work.Request, purpose Purpose, status int, reason work.Reason) work.Answer {
--- a/router/world_test.go
+++ b/router/world_test.go
@@ -131,8 +131,12 @@
 func (h *host) Current() *configuration.Snapshot { return h.world.snapshot }
 
 // Prepare does nothing.
+func (h *host) Await(context.Context) *configuration.Snapshot { return h.world.snapshot }
+
 func (h *host) Prepare(*configuration.Service) {}
 
+func (h *host) Accompany([]id.Host) {}
+
 // Self returns the host's own statement.
 func (h *host) Self() roster.Member { return h.member }
 
--- a/schedule/choice.go
+++ b/schedule/choice.go
@@ -47,6 +47,7 @@
 	inputs := s.inputs(now, t, job)
 	g := &grant{job: job, target: t, since: now, suspect: s.suspects.Suspect(job.Fingerprint), beyond: beyond, pending: beyond}
 	t.running++
+	t.told.dirty = true
 	t.long += count(job.Route.Long)
 	t.suspect += count(g.suspect)
 	s.granted[job.Ticket] = g
--- a/schedule/result.go
+++ b/schedule/result.go
@@ -55,7 +55,9 @@
 	}
 	if failed, known := r.failed(); known {
 		t.belief.Observe(now, failed)
+		t.saw(failed)
 	}
+	t.told.dirty = true
 	s.learn(now, g, r)
 	s.tellAbsent(now)
 }
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -65,9 +65,13 @@
 	belief suspicion.Belief
 	// overdue is when a request was last seen to run far longer than usual.
 	overdue time.Time
-	// others is how many requests of other daemons the target had at othersAt.
+	// others is how many requests of other daemons the target had at othersAt,
+	// as it said itself.
 	others   int
 	othersAt time.Time
+	// company is what other daemons told of their requests on the target.
+	company map[id.Host]company
+	told    told
 }
 
 const (
@@ -83,7 +87,13 @@
 // load returns how many requests the target has, as far as it is known.
 func (t *target) load(now time.Time) float64 {
 	left := 1 - float64(now.Sub(t.othersAt))/float64(othersFade)
-	return float64(t.running) + float64(t.others)*max(0, left)
+	company := 0
+	for _, c := range t.company {
+		if now.Sub(c.at) < companyFade {
+			company += c.running
+		}
+	}
+	return float64(t.running) + max(float64(company), float64(t.others)*max(0, left))
 }
 
 // sick returns the probability that the target fails now.
--- a/suspicion/suspicion.go
+++ b/suspicion/suspicion.go
@@ -15,9 +15,9 @@
 // costs one request more or less an episode.
 const (
 	// recovery is how many times a second a sick target becomes well.
-	recovery = 0.25
+	recovery = 0.09
 	// prior is the share of the time that a target is sick.
-	prior = 0.15
+	prior = 0.25
 	// failSick and failWell are the shares of requests that fail on a sick and
 	// on a well target.
 	failSick = 0.8
