Hedge long idempotent requests; spread work while requests go unserved

Idempotent requests to targets that hang or lose answers waited out their time. Change: spread.go gives work to enough targets while four or more, and 8%, of the last two seconds went unserved; delivery.go runs a second attempt beside one that takes 2.5 times the usual, within half of the retry budget; failures long before work could be done count for more; doubtful targets come after fresh ones that are crowded up to twice their slots.

--- a/command/serve.go
+++ b/command/serve.go
@@ -176,6 +176,9 @@
 	// that a target fails weighs. A failed unrepeatable request is lost, while
 	// one that waits is only late.
 	storeAvoidance = 8
+	// storeHedge is passed by about one in twenty requests of the work that
+	// callers of the platform describe: a spread of 0.8 and a tail of 3%.
+	storeHedge = 2.5
 	// storeWarmup is how long a target that is new during the day gets less.
 	storeWarmup = 2 * time.Second
 )
@@ -193,6 +196,8 @@
 		RetryBurst: terms.RetryBurst / storeLoad,
 		Attempts:   1,
 		Avoidance:  storeAvoidance,
+		Spread:     terms.FloorShare,
+		Hedge:      storeHedge,
 		Warmup:     storeWarmup,
 	}
 }
--- a/configuration/service.go
+++ b/configuration/service.go
@@ -36,6 +36,12 @@
 	// Avoidance is how many taken slots the certainty that a target fails
 	// weighs when targets are ranked; zero ranks by load alone.
 	Avoidance float64
+	// Hedge is how many times the usual time of its route an idempotent request
+	// runs before it is sent to a second target too; zero for never.
+	Hedge float64
+	// Spread is the share of the targets that get some of the work at any time,
+	// whatever is believed of them; zero leaves it to their ranks.
+	Spread unit.Ratio
 	// Evidence is the log-likelihood ratio at which a target is ejected; zero
 	// ejects none.
 	Evidence float64
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -20,24 +20,39 @@
 // the end of the answer.
 type attemptExchange struct {
 	service  *serviceDispatcher
+	of       *delivery
 	ticket   schedule.Ticket
 	endpoint schedule.Endpoint
-	// cancel ends the request's context once nothing of it is left.
-	cancel  context.CancelFunc
+	// inputs is what the endpoint was chosen by.
+	inputs schedule.Inputs
+	// number counts the attempts of the request, from 1.
+	number int
+	// waited is how long the slot was waited for.
+	waited time.Duration
+	// beside tells that another attempt of the request runs.
+	beside  bool
 	started time.Time
 	result  schedule.Result
+	reply   exchange.Reply
 }
 
-// run sends the request. Unless a streamed answer follows, the slot is free
-// again when it returns.
-func (x *attemptExchange) run(ctx context.Context, req *work.Request, route *configuration.Route, attempt int) exchange.Reply {
+// run sends the request and hands the result to the request's delivery. Unless a
+// streamed answer follows, the slot is free again then.
+func (x *attemptExchange) run() {
+	x.reply = x.send()
+	x.service.logAttempt(x)
+	x.of.hand(x)
+}
+
+func (x *attemptExchange) send() exchange.Reply {
+	req := x.of.req
 	pool, contract := x.target()
 	x.started = time.Now()
 	if pool == nil || !x.started.Before(req.Deadline) {
 		x.end(outcome.NotWritten)
 		return exchange.Reply{Ending: outcome.NotWritten, Err: context.DeadlineExceeded}
 	}
-	reply := pool.Do(ctx, x.call(req, route, contract, attempt))
+	reply := pool.Do(x.of.ctx, x.call(req, x.of.route, contract, x.number))
 	x.judge(&reply, contract)
 	if reply.Ending != outcome.Answered || reply.Rest == nil {
 		x.end(reply.Ending)
@@ -148,35 +163,22 @@
 	x.service.finish(x.ticket, x.endpoint.Address, x.result)
 }
 
-// answer passes a target's answer on.
-func (x *attemptExchange) answer(reply exchange.Reply) work.Answer {
-	a := work.Answer{
-		Outcome: outcome.Ran,
-		Status:  reply.Status,
-		Header:  reply.Header,
-		Held:    reply.Held,
-		Size:    reply.Size,
-	}
-	if reply.Rest == nil {
-		x.cancel()
-		a.Done = reply.Release
+// answer passes the target's answer on.
+func (x *attemptExchange) answer() work.Answer {
+	a := work.Answer{Outcome: outcome.Ran, Status: x.reply.Status, Header: x.reply.Header, Held: x.reply.Held, Size: x.reply.Size}
+	if x.reply.Rest != nil {
+		a.Rest = &answerStream{ReadCloser: x.reply.Rest, attempt: x}
 		return a
 	}
-	a.Rest = &answerStream{ReadCloser: reply.Rest, attempt: x, release: reply.Release}
+	x.of.release()
+	a.Done = x.reply.Release
 	return a
 }
 
-// failure keeps a failure that the target answered, with all of its body.
-func (x *attemptExchange) failure(reply exchange.Reply) work.Answer {
-	reply.Release()
-	return work.Answer{Outcome: outcome.Ran, Status: reply.Status, Header: reply.Header, Held: reply.Held, Size: reply.Size}
-}
-
 // answerStream is a streamed answer that holds its slot to the end.
 type answerStream struct {
 	io.ReadCloser
 	attempt *attemptExchange
-	release func()
 	ended   bool
 }
 
@@ -204,6 +206,6 @@
 	}
 	s.ended = true
 	s.attempt.end(e)
-	s.attempt.cancel()
-	s.release()
+	s.attempt.of.release()
+	s.attempt.reply.Release()
 }
--- a/dispatch/handle.go
+++ b/dispatch/handle.go
@@ -9,51 +9,21 @@
 	"github.com/briarrouter/briarrouter/configuration"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/outcome"
-	"github.com/briarrouter/briarrouter/quarantine"
 	"github.com/briarrouter/briarrouter/retry"
 	"github.com/briarrouter/briarrouter/schedule"
 	"github.com/briarrouter/briarrouter/work"
 )
 
-// handle runs a request: it waits for a slot, sends the request, and tries
-// again where that is safe and allowed. A failure that a target answered is kept
-// while another target is tried, since it is the answer if none does better.
+// handle runs a request and notes whether it was served.
 func (s *serviceDispatcher) handle(ctx context.Context, req *work.Request, route *configuration.Route) work.Answer {
-	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
-	s.begin(ctx)
-	job := schedule.Job{Caller: req.Caller, Route: route, Fingerprint: req.Fingerprint(), Deadline: req.Deadline}
-	known := outcome.NotRun
-	var failed *work.Answer
-	for attempt := 1; ; attempt++ {
-		waited := time.Now()
-		decision := s.acquire(ctx, &job)
-		if decision.Kind == schedule.Refused {
-			if decision.Reason == work.Quarantined && attempt > 1 {
-				// The standbys must know before the caller repeats the request.
-				clock.Sleep(ctx, quarantine.NewsTime)
-			}
-			cancel()
-			s.logRefusal(req, route, attempt, decision, time.Since(waited))
-			return answerOf(failed, refusal(known, decision))
-		}
-		x := &attemptExchange{service: s, ticket: job.Ticket, endpoint: decision.Endpoint, cancel: cancel}
-		reply := x.run(ctx, req, route, attempt)
-		s.logAttempt(req, route, attempt, decision, reply, x, time.Since(waited))
-		if reply.Ending == outcome.Answered {
-			if !x.result.Wrong || reply.Rest != nil || !s.mayRetryFailure(attempt, req, route) {
-				return x.answer(reply)
-			}
-			a := x.failure(reply)
-			failed = &a
-		}
-		known = outcome.Join(known, reply.Ending.Outcome())
-		if reply.Ending != outcome.Answered && !s.mayRetry(reply.Ending, attempt, req, route) {
-			cancel()
-			return answerOf(failed, s.failure(known, reply.Ending))
-		}
-		job.Tried = append(job.Tried, decision.Endpoint.ID)
-		s.backoff(ctx, attempt)
+	answer := newDelivery(ctx, s, req, route).answer()
+	if answer.Reason == work.CallerGone {
+		return answer
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduler.Served(time.Now(), answer.Outcome == outcome.Ran && answer.Status < http.StatusInternalServerError)
+	return answer
 }
 
 // answerOf returns the failure that a target answered before, if there is one:
@@ -65,6 +35,16 @@
 	return other
 }
 
+// acquireNow asks for a slot that is free at once, for a second attempt beside
+// one that still runs.
+func (s *serviceDispatcher) acquireNow(job *schedule.Job) (schedule.Decision, bool) {
+	decision, wait := s.arrive(job)
+	if decision.Kind == schedule.Waiting {
+		s.withdraw(job.Ticket, wait)
+	}
+	return decision, decision.Kind == schedule.Granted
+}
+
 // begin counts a first attempt and waits for the first list of targets.
 func (s *serviceDispatcher) begin(ctx context.Context) {
 	s.mu.Lock()
@@ -167,11 +147,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	limit := s.policy.Attempts
-	if route.Attempts > 0 {
-		limit = route.Attempts
-	}
-	if attempt >= limit || !s.budget.TryTake() {
+	if attempt >= s.attemptLimit(route) || !s.budget.TryTake() {
 		return false
 	}
 	s.scope.Counter("retries").Inc(1)
--- a/dispatch/log.go
+++ b/dispatch/log.go
@@ -4,30 +4,31 @@
 	"time"
 
 	"github.com/briarrouter/briarrouter/configuration"
-	"github.com/briarrouter/briarrouter/exchange"
 	"github.com/briarrouter/briarrouter/schedule"
 	"github.com/briarrouter/briarrouter/work"
 )
 
 // logAttempt tells what one attempt rested on and how it ended.
-func (s *serviceDispatcher) logAttempt(req *work.Request, route *configuration.Route, attempt int, d schedule.Decision, reply exchange.Reply, x *attemptExchange, total time.Duration) {
+func (s *serviceDispatcher) logAttempt(x *attemptExchange) {
+	reply, in := &x.reply, x.inputs
 	s.scope.Tagged(map[string]string{"ending": string(reply.Ending)}).Counter("attempts").Inc(1)
 	s.scope.Timer("attempt_seconds").Record(x.result.Elapsed)
 	event := s.log.Info().
-		Str("Request", string(req.ID)).
-		Str("Route", string(route.Name)).
-		Int("Attempt", attempt).
-		Str("Target", string(d.Endpoint.ID)).
-		Str("Address", string(d.Endpoint.Address)).
-		Int("Targets", d.Inputs.Targets).
-		Int("Eligible", d.Inputs.Eligible).
-		Int("Running", d.Inputs.Running).
-		Float64("Load", d.Inputs.Load).
-		Float64("Sick", d.Inputs.Sick).
-		Dur("EvidenceAge", d.Inputs.Age).
-		Dur("Waited", total-x.result.Elapsed).
+		Str("Request", string(x.of.req.ID)).
+		Str("Route", string(x.of.route.Name)).
+		Int("Attempt", x.number).
+		Bool("Beside", x.beside).
+		Str("Target", string(x.endpoint.ID)).
+		Str("Address", string(x.endpoint.Address)).
+		Int("Targets", in.Targets).
+		Int("Eligible", in.Eligible).
+		Int("Running", in.Running).
+		Float64("Load", in.Load).
+		Float64("Sick", in.Sick).
+		Dur("EvidenceAge", in.Age).
+		Dur("Waited", x.waited).
 		Dur("Elapsed", x.result.Elapsed).
-		Dur("Left", time.Until(req.Deadline)).
+		Dur("Left", time.Until(x.of.req.Deadline)).
 		Str("Ending", string(reply.Ending)).
 		Int("Status", reply.Status)
 	if reply.Err != nil {
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -199,7 +199,9 @@
 }
 
 const (
-	dialTimeout   = time.Second
+	// dialTimeout is less than the second after which a lost opening packet is
+	// sent again: another target is sooner reached.
+	dialTimeout   = 300 * time.Millisecond
 	idleLimit     = 30 * time.Second
 	answerHead    = 64 << 10
 	idleForUnsafe = time.Second
--- a/peer/feed.go
+++ b/peer/feed.go
@@ -16,6 +16,7 @@
 	"github.com/briarrouter/briarrouter/peer/peerpb"
 	"github.com/briarrouter/briarrouter/registry"
 	"github.com/briarrouter/briarrouter/schedule"
+	"github.com/briarrouter/briarrouter/suspicion"
 	"github.com/briarrouter/briarrouter/unit"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
@@ -186,7 +187,7 @@
 	for _, g := range list {
 		m.Sightings = append(m.Sightings, &peerpb.Sighting{
 			Service: string(g.Service), Target: string(g.Target), Incarnation: g.Incarnation,
-			Failures: uint32(g.Failures), Successes: uint32(g.Successes), LastFailed: g.LastFailed, Running: uint32(g.Running),
+			Evidence: encodeEvidence(g.Evidence), Running: uint32(g.Running),
 		})
 	}
 	return m
@@ -197,12 +198,28 @@
 	for _, g := range m.GetSightings() {
 		list = append(list, schedule.Sighting{
 			Service: id.Service(g.GetService()), Target: id.Target(g.GetTarget()), Incarnation: g.GetIncarnation(),
-			Failures: int(g.GetFailures()), Successes: int(g.GetSuccesses()), LastFailed: g.GetLastFailed(), Running: int(g.GetRunning()),
+			Evidence: decodeEvidence(g.GetEvidence()), Running: int(g.GetRunning()),
 		})
 	}
 	return list
 }
 
+func encodeEvidence(list []suspicion.Evidence) []byte {
+	data := make([]byte, len(list))
+	for i, e := range list {
+		data[i] = byte(e)
+	}
+	return data
+}
+
+func decodeEvidence(data []byte) []suspicion.Evidence {
+	list := make([]suspicion.Evidence, len(data))
+	for i, b := range data {
+		list[i] = suspicion.Evidence(b)
+	}
+	return list
+}
+
 func encodeMessage(m registry.Message) *peerpb.FeedMessage {
 	f := &peerpb.FeedMessage{At: uint64(m.Listing.At), Whole: m.Listing.Whole, AgeMilliseconds: m.Age.Milliseconds()}
 	if m.Age < 0 {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -56,6 +56,9 @@
 	return true
 }
 
+// Burst returns how many retries may follow each other after a quiet time.
+func (b *Budget) Burst() float64 { return b.cfg.burst() }
+
 // Tokens returns how many retries are allowed now.
 func (b *Budget) Tokens() float64 { return b.tokens }
 
--- a/schedule/choice.go
+++ b/schedule/choice.go
@@ -48,6 +48,7 @@
 	g := &grant{job: job, target: t, since: now, suspect: s.suspects.Suspect(job.Fingerprint), beyond: beyond, pending: beyond}
 	t.running++
 	t.told.dirty = true
+	t.used = now
 	t.long += count(job.Route.Long)
 	t.suspect += count(g.suspect)
 	s.granted[job.Ticket] = g
@@ -81,6 +82,9 @@
 		return nil
 	}
 	suspect := s.suspects.Suspect(job.Fingerprint)
+	if t := s.spread(now, job, suspect); t != nil {
+		return t
+	}
 	var best *target
 	bestCost, ties := 0.0, 0
 	for _, t := range s.targets {
@@ -105,7 +109,7 @@
 	state := s.judge.State(t.endpoint.ID)
 	capacity := s.targetCapacity(now, t)
 	switch {
-	case t.running >= capacity+s.extra(now, t, job):
+	case capacity == 0, s.full(now, t, job, capacity):
 		return false
 	case state == health.Trial && !job.Route.Idempotent:
 		return false
@@ -118,6 +122,19 @@
 	}
 }
 
+// crowding is how many requests on each slot a target may have where targets
+// are ranked by suspicion. A request that waits there for another one is late by
+// the time of one; a target in doubt loses a quarter of those sent to it.
+const crowding = 2
+
+// full tells whether a target has as many requests as it may be given.
+func (s *Scheduler) full(now time.Time, t *target, job Job, capacity int) bool {
+	if s.policy.Avoidance > 0 {
+		return t.load(now) >= float64(crowding*capacity)
+	}
+	return t.running >= capacity+s.extra(now, t, job)
+}
+
 // extra returns how many requests a target may be given beyond its slots: one
 // short request while more wait than there are slots, so that it is there when
 // the one before it ends, a network's time sooner. A target with long work gets
@@ -136,14 +153,14 @@
 
 // exploring is the part of the avoidance that counts for idempotent work. It
 // may be tried again elsewhere, so it finds out whether doubtful targets are
-// well again, and unrepeatable work goes where success is fresh.
+// well again, and unrepeatable work and last attempts go where success is fresh.
 const exploring = 0.3
 
 // cost orders the eligible targets; the lowest is chosen.
 func (s *Scheduler) cost(now time.Time, t *target, job Job) float64 {
 	cost := t.load(now) / float64(s.targetCapacity(now, t))
 	weight := s.policy.Avoidance
-	if job.Route.Idempotent {
+	if job.Route.Idempotent && len(job.Tried) == 0 {
 		weight *= exploring
 	}
 	if weight > 0 {
--- a/schedule/result.go
+++ b/schedule/result.go
@@ -8,6 +8,7 @@
 	"github.com/briarrouter/briarrouter/health"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/outcome"
+	"github.com/briarrouter/briarrouter/suspicion"
 )
 
 // Result is how a granted job ended.
@@ -53,9 +54,9 @@
 	if r.Load != nil {
 		t.others, t.othersAt = max(0, r.Load.Running+r.Load.Waiting-t.running-1), now
 	}
-	if failed, known := r.failed(); known {
-		t.belief.Observe(now, failed)
-		t.saw(failed)
+	if e, known := r.evidence(s.estimate(g.job.Route.Name).mean()); known {
+		t.belief.Observe(now, e)
+		t.saw(e)
 	}
 	t.told.dirty = true
 	s.learn(now, g, r)
@@ -72,17 +73,28 @@
 	}
 }
 
-// failed tells whether the result is a failure of the target, and whether it
-// says anything about it.
-func (r Result) failed() (failed, known bool) {
+// fastShare is the part of the usual time of a route below which a failure is
+// taken for one that came before any work.
+const fastShare = 0.1
+
+// evidence returns what the result shows of the target, and whether it shows
+// anything. Mean is how long such requests run.
+func (r Result) evidence(mean time.Duration) (suspicion.Evidence, bool) {
+	fast := mean > 0 && float64(r.Elapsed) < fastShare*float64(mean)
 	switch r.Ending {
 	case outcome.Answered:
-		return r.Wrong, true
+		if !r.Wrong {
+			return suspicion.Success, true
+		}
 	case outcome.NotWritten, outcome.BodyFailed, outcome.Cancelled:
-		return false, false
-	default:
-		return true, true
+		return 0, false
+	case outcome.DialFailed:
+		fast = true
+	}
+	if fast {
+		return suspicion.FastFailure, true
 	}
+	return suspicion.Failure, true
 }
 
 // learn draws the conclusions about the target and the request.
@@ -117,7 +129,9 @@
 	case outcome.Answered:
 		t.reached()
 		s.suspects.Cleared(job.Fingerprint)
-		s.estimate(job.Route.Name).add(r.Elapsed)
+		if !r.Wrong {
+			s.estimate(job.Route.Name).add(r.Elapsed)
+		}
 		sample.Wrong = r.Wrong
 	default:
 		sample.Wrong = true
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -87,6 +87,7 @@
 	times   map[id.Route]*estimate
 	ticked  time.Time
 	counts  Counts
+	served  served
 }
 
 // Counts counts what the scheduler decided.
@@ -305,6 +306,10 @@
 // Health returns where a target stands.
 func (s *Scheduler) Health(name id.Target) health.State { return s.judge.State(name) }
 
+// Mean returns how long requests of a route run on a target; zero before the
+// first one ended well.
+func (s *Scheduler) Mean(r id.Route) time.Duration { return s.estimate(r).mean() }
+
 // Waiting returns how many jobs wait.
 func (s *Scheduler) Waiting() int { return s.queue.len() }
 
--- a/schedule/sighting.go
+++ b/schedule/sighting.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/suspicion"
 )
 
 // Sighting is what one daemon saw of one target since it last told.
@@ -12,14 +13,16 @@
 	Target  id.Target
 	// Incarnation is that of the target's entry.
 	Incarnation uint64
-	// Failures and Successes count the requests that ended, and LastFailed tells
-	// how the last of them did.
-	Failures, Successes int
-	LastFailed          bool
+	// Evidence is what the last requests showed, the last one at the end; at most
+	// maxEvidence.
+	Evidence []suspicion.Evidence
 	// Running is how many requests of the daemon the target has.
 	Running int
 }
 
+// maxEvidence bounds the evidence that is told at once: a few outcomes decide.
+const maxEvidence = 8
+
 // company is what another daemon runs on a target.
 type company struct {
 	running int
@@ -31,22 +34,19 @@
 // an older number is that of a daemon that is gone, or of a long request.
 const companyFade = 2 * time.Second
 
-// told counts what is to be told of a target.
+// told is what is to be told of a target.
 type told struct {
 	// dirty tells that there is something to tell.
-	dirty               bool
-	failures, successes int
-	lastFailed          bool
+	dirty    bool
+	evidence []suspicion.Evidence
 }
 
-// saw notes an outcome of this daemon for the others.
-func (t *target) saw(failed bool) {
-	t.told.dirty, t.told.lastFailed = true, failed
-	if failed {
-		t.told.failures++
-	} else {
-		t.told.successes++
+// saw notes what a request of this daemon showed, for the others.
+func (t *target) saw(e suspicion.Evidence) {
+	if len(t.told.evidence) == maxEvidence {
+		t.told.evidence = append(t.told.evidence[:0], t.told.evidence[1:]...)
 	}
+	t.told.evidence = append(t.told.evidence, e)
 }
 
 // Sightings returns what this daemon saw since the last call.
@@ -58,7 +58,7 @@
 		}
 		list = append(list, Sighting{
 			Service: s.policy.Name, Target: t.endpoint.ID, Incarnation: t.endpoint.Incarnation,
-			Failures: t.told.failures, Successes: t.told.successes, LastFailed: t.told.lastFailed, Running: t.running,
+			Evidence: t.told.evidence, Running: t.running,
 		})
 		t.told = told{}
 	}
@@ -81,22 +81,15 @@
 		t.company = make(map[id.Host]company)
 	}
 	t.company[from] = company{running: g.Running, at: now}
-	first, last, firstFailed := g.Successes, g.Failures, false
-	if !g.LastFailed {
-		first, last, firstFailed = g.Failures, g.Successes, true
-	}
-	for range min(first, maxLearned) {
-		t.belief.Observe(now, firstFailed)
-	}
-	for range min(last, maxLearned) {
-		t.belief.Observe(now, g.LastFailed)
+	t.used = now
+	for _, e := range g.Evidence[:min(len(g.Evidence), maxEvidence)] {
+		if e.Valid() {
+			t.belief.Observe(now, e)
+		}
 	}
 }
 
-// maxLearned bounds the outcomes that are taken from one message: a few decide.
-const maxLearned = 5
-
-// forget drops what is known of the requests of a daemon that is gone.
+// Forget drops what is known of the requests of a daemon that is gone.
 func (s *Scheduler) Forget(from id.Host) {
 	for _, t := range s.targets {
 		delete(t.company, from)
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -72,6 +72,9 @@
 	// company is what other daemons told of their requests on the target.
 	company map[id.Host]company
 	told    told
+	// used is when a request was last sent by this daemon or, as far as they
+	// told, by others.
+	used time.Time
 }
 
 const (
--- a/suspicion/suspicion.go
+++ b/suspicion/suspicion.go
@@ -1,7 +1,7 @@
 // Package suspicion estimates from single outcomes whether a target is sick at
 // this moment. It answers the load of gray failures that come and go within
 // seconds while health checks stay good: there each failed request is a loss,
-// and evidence is old after a few seconds. It only ranks targets; ejecting them
+// and evidence is old after some seconds. It only ranks targets; ejecting them
 // is the business of package health.
 package suspicion
 
@@ -10,21 +10,49 @@
 	"time"
 )
 
+// Evidence is what one request showed of its target.
+type Evidence uint8
+
+// The kinds of evidence.
+const (
+	// Success is a complete answer that is no failure.
+	Success Evidence = iota
+	// Failure is a failure after about the time that work takes.
+	Failure
+	// FastFailure is a failure long before work could have been done: the mark
+	// of a target that fails whatever it is asked.
+	FastFailure
+	// kinds is the number of kinds.
+	kinds
+)
+
+// Valid tells whether the evidence is of a known kind.
+func (e Evidence) Valid() bool { return e < kinds }
+
+// likelihood is the probability of some evidence on a sick and on a well
+// target.
+type likelihood struct{ sick, well float64 }
+
 // The model is a hidden Markov process with the states well and sick. The rates
 // hold for failures that last some seconds; a belief that is wrong about them
 // costs one request more or less an episode.
+var likelihoods = [kinds]likelihood{
+	Success:     {sick: 0.15, well: 0.985},
+	Failure:     {sick: 0.15, well: 0.013},
+	FastFailure: {sick: 0.70, well: 0.001},
+}
+
 const (
 	// recovery is how many times a second a sick target becomes well.
 	recovery = 0.09
 	// prior is the share of the time that a target is sick.
 	prior = 0.25
-	// failSick and failWell are the shares of requests that fail on a sick and
-	// on a well target.
-	failSick = 0.8
-	failWell = 0.02
 	// relaxation is how fast a belief returns to the prior, per second: the sum
 	// of the rates of falling sick and of becoming well.
 	relaxation = recovery / (1 - prior)
+	// maxSick bounds what many failures add up to: the target may have become
+	// well since the last of them, and a few successes must show it.
+	maxSick = 0.95
 )
 
 // Belief is what is believed of one target. The zero Belief knows nothing.
@@ -43,14 +71,10 @@
 	return prior + (b.sick-prior)*math.Exp(-relaxation*age)
 }
 
-// Observe takes the outcome of a request that ended now.
-func (b *Belief) Observe(now time.Time, failed bool) {
-	sick := b.Sick(now)
-	ifSick, ifWell := 1-failSick, 1-failWell
-	if failed {
-		ifSick, ifWell = failSick, failWell
-	}
-	b.sick = sick * ifSick / (sick*ifSick + (1-sick)*ifWell)
+// Observe takes what a request showed that ended now.
+func (b *Belief) Observe(now time.Time, e Evidence) {
+	sick, l := b.Sick(now), likelihoods[e]
+	b.sick = min(maxSick, sick*l.sick/(sick*l.sick+(1-sick)*l.well))
 	b.at = now
 }
 
