--- a/caller/connection.go
+++ b/caller/connection.go
@@ -130,8 +130,8 @@
 	switch {
 	case errors.Is(err, errHeadTooLarge):
 		x.refuse(http.StatusRequestHeaderFieldsTooLarge, work.BadRequest, err)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		x.refuse(http.StatusRequestTimeout, work.BadRequest, err)
+	case c.inbox.timedOut():
+		x.refuse(http.StatusRequestTimeout, work.BadRequest, os.ErrDeadlineExceeded)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), c.ctx.Err() != nil:
 		return
 	default:
--- a/caller/inbox.go
+++ b/caller/inbox.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 )
 
@@ -12,7 +13,7 @@
 // further requests.
 type inbox struct {
 	conn net.Conn
-	// gone is called once, when nothing more can come.
+	// gone is called once, when the caller has ended the connection.
 	gone func()
 
 	mu sync.Mutex
@@ -40,16 +41,26 @@
 }
 
 func (b *inbox) loop() {
-	defer b.gone()
 	chunk := make([]byte, inboxChunk)
 	for b.awaitRoom() {
 		n, err := b.conn.Read(chunk)
-		if !b.put(chunk[:n], err) {
-			return
+		if b.put(chunk[:n], err) {
+			continue
 		}
+		if !b.timedOut() {
+			b.gone()
+		}
+		return
 	}
 }
 
+// timedOut tells whether the caller was given up for sending nothing in time.
+func (b *inbox) timedOut() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return errors.Is(b.err, os.ErrDeadlineExceeded)
+}
+
 // awaitRoom waits until there is room, and tells whether more may come.
 func (b *inbox) awaitRoom() bool {
 	b.mu.Lock()
--- a/command/serve.go
+++ b/command/serve.go
@@ -123,7 +123,7 @@
 	k.Register(operator.ServiceName, operator.New(operator.Config{Address: daemon.Operator, Log: log}))
 	k.Register(configuration.ServiceName, a.store(terms))
 	k.Register(dispatch.ServiceName, dispatch.New(dispatch.Config{
-		Log: log, Scope: scope, Memory: gate, AnswerBuffer: daemon.Limits.AnswerBuffer, Seed: seed,
+		Log: log, Scope: scope, Memory: gate, AnswerBuffer: daemon.Limits.AnswerBuffer, Domain: daemon.FailureDomain, Seed: seed,
 	}))
 	k.Register(peer.ServiceName, peer.New(peer.Config{
 		Self: self, Limits: daemon.Limits, Timing: daemon.Timing, Memory: gate, Scope: scope, Log: log, Seed: seed, Seeds: daemon.Seeds,
@@ -168,14 +168,13 @@
 	// storeQueue bounds the requests of a service that wait at one daemon: more
 	// than a daemon of the sizes in use can answer within any deadline.
 	storeQueue = 256
-	// storeLoad is how many daemons at once may spend the platform's allowance
-	// of retries: those that callers are steered to, twice, since callers hold
-	// old answers while the set changes.
-	storeLoad = 6
 	// storeAvoidance is how many requests on each of its slots the certainty
 	// that a target fails weighs. A failed unrepeatable request is lost, while
 	// one that waits is only late.
 	storeAvoidance = 8
+	// storeDistance makes an upload of 64 KiB share a target of this failure
+	// domain rather than cross to an idle one.
+	storeDistance = 0.6
 	// storeHedge is passed by about one in twenty requests of the work that
 	// callers of the platform describe: a spread of 0.8 and a tail of 3%.
 	storeHedge = 2.5
@@ -193,11 +192,12 @@
 		LongShare:  1,
 		Queue:      storeQueue,
 		RetryShare: terms.RetryShare,
-		RetryBurst: terms.RetryBurst / storeLoad,
+		RetryBurst: terms.RetryBurst,
 		Attempts:   1,
 		Avoidance:  storeAvoidance,
 		Spread:     terms.FloorShare,
 		Hedge:      storeHedge,
+		Distance:   storeDistance,
 		Warmup:     storeWarmup,
 	}
 }
--- a/configuration/service.go
+++ b/configuration/service.go
@@ -28,14 +28,18 @@
 	Queue int
 	// RetryShare is how many retries may be made for each first attempt.
 	RetryShare unit.Ratio
-	// RetryBurst is how many retries may follow each other beyond RetryShare;
-	// zero stands for the default of package retry.
+	// RetryBurst is how many retries all daemons together may make beyond
+	// RetryShare; zero leaves it to each daemon.
 	RetryBurst float64
 	// Attempts bounds the attempts of one idempotent request; at least 1.
 	Attempts int
 	// Avoidance is how many taken slots the certainty that a target fails
 	// weighs when targets are ranked; zero ranks by load alone.
 	Avoidance float64
+	// Distance is how many requests on each of its slots it weighs that a target
+	// stands in another failure domain, for each 64 KiB of a request's body;
+	// zero does not look at it.
+	Distance float64
 	// Hedge is how many times the usual time of its route an idempotent request
 	// runs before it is sent to a second target too; zero for never.
 	Hedge float64
@@ -79,6 +83,10 @@
 	// MisdirectedStatus is the status of a process that is not the target named
 	// in TargetHeader and ran nothing; zero where there is none.
 	MisdirectedStatus int
+	// Promises lists the statuses by which callers take it that a request did
+	// not run. A target's answer with one of them that is no proof is a failure
+	// of which nothing is known.
+	Promises []int
 	// DrainHeader stands in any answer of a target that is leaving.
 	DrainHeader string
 	// EchoHeader repeats the request id in every answer; empty where targets
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -116,9 +118,16 @@
 		reply.Ending = outcome.Declined
 		return
 	}
+	if slices.Contains(contract.Promises, reply.Status) {
+		x.discard(reply)
+		reply.Ending, reply.Err = outcome.Malformed, errNoProof
+		return
+	}
 	x.result.Wrong = reply.Status >= http.StatusInternalServerError
 }
 
+var errNoProof = errors.New("answer says without proof that the request did not run")
+
 // discard ends the use of an answer that nobody gets.
 func (x *attemptExchange) discard(reply *exchange.Reply) {
 	reply.Release()
--- a/dispatch/company.go
+++ b/dispatch/company.go
@@ -7,8 +7,10 @@
 
 	"github.com/briarrouter/briarrouter/backlog"
 	"github.com/briarrouter/briarrouter/clock"
+	"github.com/briarrouter/briarrouter/configuration"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/kernel"
+	"github.com/briarrouter/briarrouter/retry"
 	"github.com/briarrouter/briarrouter/schedule"
 )
 
@@ -40,11 +42,25 @@
 	cancel context.CancelFunc
 }
 
-// Accompany names the daemons that run requests of the same services. What they
-// see of the targets is followed.
-func (d *Dispatcher) Accompany(hosts []id.Host) {
+// Company is the daemons that callers are steered to.
+type Company struct {
+	// Serving tells that this daemon is one of them.
+	Serving bool
+	// Others lists the other ones.
+	Others []id.Host
+	// Fleet is how many daemons there are in all.
+	Fleet int
+}
+
+// Accompany names the daemons that callers are steered to. If this daemon is one
+// of them, it follows what the others see of the targets that they share.
+func (d *Dispatcher) Accompany(c Company) {
+	hosts := c.Others
+	if !c.Serving {
+		hosts = nil
+	}
+	before := d.company.Swap(&c)
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	for _, host := range hosts {
 		if d.companions[host] == nil {
 			c := &companion{owner: d, host: host}
@@ -59,6 +75,34 @@
 			delete(d.companions, host)
 		}
 	}
+	d.mu.Unlock()
+	if c.Serving != before.Serving || len(c.Others) != len(before.Others) || c.Fleet != before.Fleet {
+		d.cfg.Log.Info().Bool("Serving", c.Serving).Int("Others", len(c.Others)).Int("Fleet", c.Fleet).Msg("daemons that callers use change")
+		for _, s := range d.all() {
+			s.allot()
+		}
+	}
+}
+
+// budgetConfig returns what this daemon may retry of a service.
+func (d *Dispatcher) budgetConfig(p *configuration.Service) retry.Config {
+	cfg := retry.Config{Share: p.RetryShare}
+	if p.RetryBurst > 0 {
+		c := d.company.Load()
+		servers := len(c.Others)
+		if c.Serving {
+			servers++
+		}
+		cfg.Burst = retry.Allot(p.RetryBurst, c.Serving, servers, c.Fleet)
+	}
+	return cfg
+}
+
+// allot sets the budget anew.
+func (s *serviceDispatcher) allot() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.SetConfig(s.owner.budgetConfig(s.policy))
 }
 
 func (c *companion) run() {
--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -50,7 +50,7 @@
 func newDelivery(ctx context.Context, s *serviceDispatcher, req *work.Request, route *configuration.Route) *delivery {
 	d := &delivery{
 		service: s, req: req, route: route, known: outcome.NotRun, ended: make(chan *attemptExchange, maxRunning),
-		job: schedule.Job{Caller: req.Caller, Route: route, Fingerprint: req.Fingerprint(), Deadline: req.Deadline},
+		job: schedule.Job{Caller: req.Caller, Route: route, Fingerprint: req.Fingerprint(), Deadline: req.Deadline, Size: req.Body.Size},
 	}
 	d.ctx, d.cancel = context.WithDeadline(ctx, req.Deadline)
 	return d
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -7,9 +7,11 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/briarrouter/briarrouter/backlog"
@@ -49,6 +51,10 @@
 	Memory *memory.Gate
 	// AnswerBuffer is the largest answer that is held whole.
 	AnswerBuffer unit.Bytes
+	// Domain is where this daemon stands.
+	Domain id.FailureDomain
+	// Dial makes a connection to a target; net.Dialer's where it is nil.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Seed makes the choices between equal targets.
 	Seed uint64
 }
@@ -63,6 +69,8 @@
 	context  context.Context
 	cancel   context.CancelFunc
 	group    conc.WaitGroup
+	// company is never nil.
+	company atomic.Pointer[Company]
 	// wake and wakeNow hold a wish to tell what was seen, soon or at once.
 	wake, wakeNow chan struct{}
 
@@ -83,11 +91,13 @@
 
 // New returns a dispatcher without services.
 func New(cfg Config) *Dispatcher {
-	return &Dispatcher{
+	d := &Dispatcher{
 		cfg: cfg, services: make(map[id.Service]*serviceDispatcher), known: quarantine.New(), departed: departure.New(),
 		urgent: make(chan id.Service, 1), wake: make(chan struct{}, 1), wakeNow: make(chan struct{}, 1),
 		companions: make(map[id.Host]*companion), sightings: backlog.New[schedule.Sighting](maxSightings),
 	}
+	d.company.Store(&Company{})
+	return d
 }
 
 // Start finds the lists of targets and the policies.
--- a/dispatch/log.go
+++ b/dispatch/log.go
@@ -16,6 +16,7 @@
 	event := s.log.Info().
 		Str("Request", string(x.of.req.ID)).
 		Str("Route", string(x.of.route.Name)).
+		Bool("Idempotent", x.of.route.Idempotent).
 		Int("Attempt", x.number).
 		Bool("Beside", x.beside).
 		Str("Target", string(x.endpoint.ID)).
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -56,7 +56,7 @@
 
 func newServiceDispatcher(owner *Dispatcher, policy *configuration.Service, random *rand.Rand) *serviceDispatcher {
 	table := quarantine.New()
-	return &serviceDispatcher{
+	s := &serviceDispatcher{
 		owner:       owner,
 		name:        policy.Name,
 		log:         owner.cfg.Log.With().Str("Service", string(policy.Name)).Logger(),
@@ -64,16 +64,14 @@
 		policy:      policy,
 		scheduler:   schedule.New(policy, table, random),
 		suspects:    table,
-		budget:      retry.NewBudget(budgetConfig(policy)),
+		budget:      retry.NewBudget(owner.budgetConfig(policy)),
 		random:      random,
 		waiting:     make(map[schedule.Ticket]chan schedule.Decision),
 		connections: make(map[id.Target]*connection),
 		listed:      make(chan struct{}),
 	}
-}
-
-func budgetConfig(p *configuration.Service) retry.Config {
-	return retry.Config{Share: p.RetryShare, Burst: p.RetryBurst}
+	s.scheduler.SetDomain(owner.cfg.Domain)
+	return s
 }
 
 func (s *serviceDispatcher) start(ctx context.Context) {
@@ -130,7 +128,7 @@
 	if next := current.Services[s.name]; next != nil && next != s.policy {
 		s.policy = next
 		s.scheduler.SetPolicy(next)
-		s.budget.SetConfig(budgetConfig(next))
+		s.budget.SetConfig(s.owner.budgetConfig(next))
 	}
 }
 
@@ -221,6 +219,7 @@
 		HeadLimit:    answerHead,
 		AnswerBuffer: s.owner.cfg.AnswerBuffer,
 		Memory:       s.owner.cfg.Memory,
+		Dial:         s.owner.cfg.Dial,
 	})
 	ctx, cancel := context.WithCancel(ctx)
 	if s.policy.Probe.Every > 0 {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -14,6 +14,9 @@
 	cfg Config
 	// tokens is between 0 and the burst; a retry takes one.
 	tokens float64
+	// most is the largest burst so far. A budget is filled up to it once: one
+	// that shrinks and grows must not fill anew.
+	most float64
 }
 
 // Config makes a Budget.
@@ -36,11 +39,37 @@
 }
 
 // NewBudget returns a full budget.
-func NewBudget(cfg Config) *Budget { return &Budget{cfg: cfg, tokens: cfg.burst()} }
+func NewBudget(cfg Config) *Budget { return &Budget{cfg: cfg, tokens: cfg.burst(), most: cfg.burst()} }
+
+const (
+	// idleBurst is the burst of a daemon that callers are not steered to: the
+	// stray requests that it gets need few retries.
+	idleBurst = 1
+	// allotted is the part of a fleet's allowance that is dealt out. The rest is
+	// for daemons that leave the set that callers use while others join it.
+	allotted = 0.85
+)
+
+// Allot returns the burst of one daemon, so that the bursts of a fleet stay
+// within a total allowance. It answers the load of a platform that counts the
+// retries of all daemons together, which share nothing that they could count
+// with. Serving tells that callers are steered to this daemon, as they are to
+// the given number of servers in the fleet.
+func Allot(total float64, serving bool, servers, fleet int) float64 {
+	if !serving || servers == 0 {
+		return idleBurst
+	}
+	idle := idleBurst * float64(max(0, fleet-servers))
+	return max(idleBurst, (allotted*total-idle)/float64(servers))
+}
 
 // SetConfig changes what is allowed.
 func (b *Budget) SetConfig(cfg Config) {
 	b.cfg = cfg
+	if burst := cfg.burst(); burst > b.most {
+		b.tokens += burst - b.most
+		b.most = burst
+	}
 	b.tokens = min(b.tokens, cfg.burst())
 }
 
--- a/router/prepare.go
+++ b/router/prepare.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/dispatch"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/roster"
 	"github.com/briarrouter/briarrouter/steering"
@@ -87,7 +88,7 @@
 func (r *Router) prepare(snapshot *configuration.Snapshot) {
 	self := r.peers.Self()
 	if r.local {
-		r.runner.Accompany(companions(r.ranks.sharedList(r.peers), self))
+		r.runner.Accompany(company(r.ranks.sharedList(r.peers), self, len(r.peers.Members())))
 	}
 	for name, policy := range snapshot.Services {
 		if r.local {
@@ -103,20 +104,15 @@
 	}
 }
 
-// companions returns the other daemons that callers of every service use, if
-// this daemon is one of them.
-func companions(shared []roster.Member, self roster.Member) []id.Host {
-	var hosts []id.Host
-	among := false
+// company returns the daemons that callers of every service use.
+func company(shared []roster.Member, self roster.Member, fleet int) dispatch.Company {
+	c := dispatch.Company{Fleet: fleet}
 	for _, m := range shared {
 		if m.Host == self.Host {
-			among = true
+			c.Serving = true
 			continue
 		}
-		hosts = append(hosts, m.Host)
+		c.Others = append(c.Others, m.Host)
 	}
-	if !among {
-		return nil
-	}
-	return hosts
+	return c
 }
--- a/router/router.go
+++ b/router/router.go
@@ -11,6 +11,7 @@
 
 	"github.com/briarrouter/briarrouter/clock"
 	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/dispatch"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/kernel"
 	"github.com/briarrouter/briarrouter/ledger"
@@ -55,8 +56,8 @@
 type runner interface {
 	Run(ctx context.Context, req *work.Request, m configuration.Match) work.Answer
 	Prepare(s *configuration.Service)
-	// Accompany names the daemons that run requests of the same services.
-	Accompany(hosts []id.Host)
+	// Accompany names the daemons that callers are steered to.
+	Accompany(c dispatch.Company)
 }
 
 // peers is the other daemons.
--- a/router/world_test.go
+++ b/router/world_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/dispatch"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/ledger"
 	"github.com/briarrouter/briarrouter/outcome"
@@ -135,7 +136,7 @@
 
 func (h *host) Prepare(*configuration.Service) {}
 
-func (h *host) Accompany([]id.Host) {}
+func (h *host) Accompany(dispatch.Company) {}
 
 // Self returns the host's own statement.
 func (h *host) Self() roster.Member { return h.member }
--- a/schedule/choice.go
+++ b/schedule/choice.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/briarrouter/briarrouter/health"
+	"github.com/briarrouter/briarrouter/unit"
 )
 
 // grant is a job that holds a slot.
@@ -156,6 +157,14 @@
 // well again, and unrepeatable work and last attempts go where success is fresh.
 const exploring = 0.3
 
+const (
+	// distanceUnit is the body for which policies state the weight of distance.
+	distanceUnit = 64 * unit.KiB
+	// nearBody is the part of that weight that the smallest request has: answers
+	// cross between failure domains too.
+	nearBody = 0.05
+)
+
 // cost orders the eligible targets; the lowest is chosen.
 func (s *Scheduler) cost(now time.Time, t *target, job Job) float64 {
 	cost := t.load(now) / float64(s.targetCapacity(now, t))
@@ -166,6 +175,9 @@
 	if weight > 0 {
 		cost += weight * t.sick(now)
 	}
+	if s.policy.Distance > 0 && t.endpoint.FailureDomain != s.domain {
+		cost += s.policy.Distance * max(nearBody, float64(job.Size)/float64(distanceUnit))
+	}
 	if slices.Contains(job.Tried, t.endpoint.ID) {
 		cost += triedCost
 	}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -27,6 +27,8 @@
 	Fingerprint work.Fingerprint
 	// Deadline is when the answer must be complete.
 	Deadline time.Time
+	// Size is the length of the request's body; negative where it is not known.
+	Size unit.Bytes
 	// Tried lists the targets that earlier attempts ran on.
 	Tried []id.Target
 }
@@ -76,7 +78,9 @@
 
 // Scheduler decides for one service. It is not safe for concurrent use.
 type Scheduler struct {
-	policy   *configuration.Service
+	policy *configuration.Service
+	// domain is where this daemon stands.
+	domain   id.FailureDomain
 	random   *rand.Rand
 	judge    *health.Judge
 	suspects *quarantine.Table
@@ -113,6 +117,9 @@
 	return health.Config{Evidence: p.Evidence, Floor: p.Floor, FirstEjection: p.FirstEjection}
 }
 
+// SetDomain tells where this daemon stands.
+func (s *Scheduler) SetDomain(domain id.FailureDomain) { s.domain = domain }
+
 // SetPolicy puts a new policy in force. Jobs that run or wait stay.
 func (s *Scheduler) SetPolicy(policy *configuration.Service) {
 	s.policy = policy
