Steer callers to the daemons with the most room

Cause: the grown deployments have eight hosts of 0.8 cores and 200 Mbit/s among 124 of 0.16 and 10; three of any size shared the callers. Change: members say what processor time they have; callers share a sixteenth of the fleet's number, those with the most room, more of the others only where most of the roomy ones are lost. The daemons that read from the platform are chosen alike. At most ten companions are followed.

--- a/command/serve.go
+++ b/command/serve.go
@@ -111,6 +111,7 @@
 		Callers:       daemon.Callers,
 		Peers:         daemon.Peers,
 		Incarnation:   id.NewIncarnation(a.now),
+		Room:          daemon.Room,
 	}
 	seed := uint64(self.Incarnation)
 	gate := memory.New(daemon.Limits.Buffers)
--- a/dispatch/company.go
+++ b/dispatch/company.go
@@ -21,6 +21,9 @@
 	// gatherTime is how long sightings are gathered before they are told. A
 	// failure is told at once.
 	gatherTime = 30 * time.Millisecond
+	// maxCompanions bounds the daemons that are followed. Where more of them
+	// serve, each is small, and following them all would take its time.
+	maxCompanions = 10
 	// followAgain is the time before a daemon that does not answer is followed
 	// again.
 	followAgain = 500 * time.Millisecond
@@ -55,7 +58,7 @@
 // Accompany names the daemons that callers are steered to. If this daemon is one
 // of them, it follows what the others see of the targets that they share.
 func (d *Dispatcher) Accompany(c Company) {
-	hosts := c.Others
+	hosts := c.Others[:min(len(c.Others), maxCompanions)]
 	if !c.Serving {
 		hosts = nil
 	}
--- a/inifile/inifile.go
+++ b/inifile/inifile.go
@@ -315,6 +315,15 @@
 	return n
 }
 
+// FloatOr returns a number between low and high, or the fallback.
+func (s *Section) FloatOr(key string, low, high, fallback float64) float64 {
+	if !s.ini.HasKey(key) {
+		s.lookup(key)
+		return fallback
+	}
+	return s.Float(key, low, high)
+}
+
 // Duration returns a time span between low and high.
 func (s *Section) Duration(key string, low, high time.Duration) time.Duration {
 	accepted := fmt.Sprintf("a time span with its unit (ms, s, m, h) from %s to %s", low, high)
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -8,6 +8,7 @@
 	"github.com/briarrouter/briarrouter/peer/peerpb"
 	"github.com/briarrouter/briarrouter/quarantine"
 	"github.com/briarrouter/briarrouter/roster"
+	"github.com/briarrouter/briarrouter/unit"
 	"github.com/briarrouter/briarrouter/work"
 )
 
@@ -20,6 +21,7 @@
 		Incarnation:   uint64(m.Incarnation),
 		Sequence:      m.Sequence,
 		State:         uint32(m.State),
+		Room:          uint32(m.Room),
 	}
 }
 
@@ -32,6 +34,7 @@
 		Incarnation:   id.Incarnation(m.GetIncarnation()),
 		Sequence:      m.GetSequence(),
 		State:         roster.State(min(m.GetState(), uint32(roster.Dead))),
+		Room:          unit.Millicores(m.GetRoom()),
 	}
 }
 
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -195,7 +195,7 @@
 			running = append(running, m)
 		}
 	}
-	ranked := steering.New(running).RankAll(readers)
+	ranked := steering.New(running).RankRoomy(readers)
 	r.fleet, r.generation = nil, generation
 	for _, m := range ranked {
 		r.fleet = append(r.fleet, Reader{Host: m.Host, Domain: m.FailureDomain})
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/unit"
 )
 
 // State is what is believed of a member.
@@ -58,6 +59,8 @@
 	// itself raises it.
 	Sequence uint64
 	State    State
+	// Room is the processor time that the host has; zero where it did not say.
+	Room unit.Millicores
 }
 
 // newer tells whether statement a about a host replaces b.
--- a/router/prepare.go
+++ b/router/prepare.go
@@ -39,16 +39,13 @@
 // renew ranks anew where the roster has changed. The lock is held.
 func (r *ranks) renew(p peers) {
 	if g := p.Generation(); r.order == nil || g != r.generation {
-		r.generation, r.order = g, steering.New(p.Members())
+		members := p.Members()
+		r.generation, r.order = g, steering.New(members)
 		r.ranked = make(map[id.Service][]roster.Member)
-		r.shared = r.order.Shared(p.Self(), sharedDaemons)
+		r.shared = r.order.Shared(p.Self(), members)
 	}
 }
 
-// sharedDaemons is how many daemons callers of every service are steered to.
-// Three survive the loss of two; more of them each see less of the targets.
-const sharedDaemons = 3
-
 // sharedList returns the daemons that callers of every service use.
 func (r *ranks) sharedList(p peers) []roster.Member {
 	r.mu.Lock()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -17,6 +17,8 @@
 	Host id.Host
 	// FailureDomain is the failure domain that the host stands in.
 	FailureDomain id.FailureDomain
+	// Room is the processor time that the daemon has.
+	Room unit.Millicores
 	// Callers, Peers and Operator are the addresses to listen on. No two are
 	// the same.
 	Callers  id.Address
@@ -119,6 +121,7 @@
 	host := f.Section("Host")
 	d.Host = id.Host(host.Text("Name", "the name in the platform's host list"))
 	d.FailureDomain = id.FailureDomain(host.Text("FailureDomain", "the name of a failure domain"))
+	d.Room = unit.Millicores(thousandths * host.FloatOr("Cores", 0.001, maxCores, 1) * host.FloatOr("Speed", 0.001, maxCores, 1))
 	listen := f.Section("Listen")
 	d.Callers = listen.Address("Callers")
 	d.Peers = listen.Address("Peers")
@@ -139,6 +142,11 @@
 	d.Directory = Directory{Resolve: directory.Address("Resolve"), Ready: directory.Address("Ready")}
 }
 
+const (
+	thousandths = 1000
+	maxCores    = 1024
+)
+
 func refuseSame(s *inifile.Section, key string, address id.Address, other string, taken id.Address) {
 	if address == taken && address != "" {
 		s.Problem(key, fmt.Sprintf("address %s is also the one of %s", address, other), "an address of its own")
--- a/steering/steering.go
+++ b/steering/steering.go
@@ -8,6 +8,7 @@
 
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/roster"
+	"github.com/briarrouter/briarrouter/unit"
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -140,14 +141,65 @@
 // daemons for all services.
 const shared id.Service = ""
 
-// Shared returns the members that callers of every service use, at most n. A
-// few daemons see many requests each, so that each soon knows how the targets
-// do; standing in different failure domains, they are seldom lost together.
-// While no member is known to serve, it is this daemon.
-func (o *Order) Shared(self roster.Member, n int) []roster.Member {
-	ranked := o.Rank(shared)
+const (
+	// minShared is how many daemons callers share at least: three survive the
+	// loss of two, and each more sees less of the targets.
+	minShared = 3
+	// fleetPerShared is how many daemons there are for each that callers share:
+	// in the fleets that were measured, two daemons of 0.8 cores for a hundred
+	// targets or three of 0.3 cores for thirty are a tenth busy.
+	fleetPerShared = 16
+)
+
+// RankRoomy returns all members, those of much room before those of little, and
+// those of about the same room ranked as by Rank.
+func (o *Order) RankRoomy(s id.Service) []roster.Member {
+	ranked := o.RankAll(s)
+	largest := largestRoom(ranked)
+	slices.SortStableFunc(ranked, func(a, b roster.Member) int {
+		return cmp.Compare(roomClass(a, largest), roomClass(b, largest))
+	})
+	return ranked
+}
+
+// roomClass returns how often the largest room must be halved to fit into that
+// of a member.
+func roomClass(m roster.Member, largest unit.Millicores) int {
+	class := 0
+	for room := largest / 2; m.Room < room; room /= 2 {
+		class++
+	}
+	return class
+}
+
+func largestRoom(members []roster.Member) unit.Millicores {
+	var largest unit.Millicores
+	for _, m := range members {
+		largest = max(largest, m.Room)
+	}
+	return largest
+}
+
+// Shared returns the members that callers of every service use. A few daemons
+// see many requests each, so that each soon knows how the targets do; standing
+// in different failure domains, they are seldom lost together. They are those
+// with the most room. Where most of the roomy ones are lost, more of the others
+// take their place; until then they would only divide what is seen. Known lists all members that are known, alive or not. While no
+// member is known to serve, it is this daemon.
+func (o *Order) Shared(self roster.Member, known []roster.Member) []roster.Member {
+	ranked := o.RankRoomy(shared)
 	if len(ranked) == 0 {
 		return []roster.Member{self}
 	}
-	return ranked[:min(n, len(ranked))]
+	largest := largestRoom(known)
+	need := unit.Millicores(max(minShared, len(known)/fleetPerShared)) * largest
+	taken, end := unit.Millicores(0), 0
+	for ; end < len(ranked) && (end < minShared || taken < need); end++ {
+		smaller := roomClass(ranked[end], largest) > roomClass(ranked[0], largest)
+		if end >= minShared && smaller && taken >= need/2 {
+			break
+		}
+		taken += ranked[end].Room
+	}
+	return ranked[:end]
 }
--- a/unit/unit.go
+++ b/unit/unit.go
@@ -56,3 +56,6 @@
 
 // Ratio is a share between 0 and 1.
 type Ratio float64
+
+// Millicores is processor time in thousandths of one core.
+type Millicores int
