--- a/command/serve.go
+++ b/command/serve.go
@@ -92,7 +92,7 @@
 type assembly struct {
 	daemon settings.Daemon
 	log    zerolog.Logger
-	// dropped returns how many log lines were dropped.
+	// dropped returns how many log lines were dropped; nil where there is no log.
 	dropped func() int64
 	now     time.Time
 }
@@ -118,13 +118,17 @@
 	metrics := metric.New()
 	scope := metrics.Scope()
 	onStore := daemon.Store.Address != ""
+	requestLog := log.Sample(newRequestSampler(scope))
 
 	k := kernel.New()
+	if a.dropped != nil {
+		k.Register(logName, logService{a.dropped})
+	}
 	k.Register(metric.ServiceName, metrics)
 	k.Register(operator.ServiceName, operator.New(operator.Config{Address: daemon.Operator, Log: log}))
 	k.Register(configuration.ServiceName, a.store(terms))
 	k.Register(dispatch.ServiceName, dispatch.New(dispatch.Config{
-		Log: log, Scope: scope, Memory: gate, AnswerBuffer: daemon.Limits.AnswerBuffer, Domain: daemon.FailureDomain, Seed: seed,
+		Log: requestLog, Scope: scope, Memory: gate, AnswerBuffer: daemon.Limits.AnswerBuffer, Domain: daemon.FailureDomain, Seed: seed,
 	}))
 	k.Register(peer.ServiceName, peer.New(peer.Config{
 		Self: self, Limits: daemon.Limits, Timing: daemon.Timing, Memory: gate, Scope: scope, Log: log, Seed: seed, Seeds: daemon.Seeds,
@@ -145,7 +149,7 @@
 		Scope: scope,
 		Local: onStore,
 	}))
-	callers := caller.Config{Address: daemon.Callers, Limits: daemon.Limits, Timing: daemon.Timing, Memory: gate, Log: log}
+	callers := caller.Config{Address: daemon.Callers, Limits: daemon.Limits, Timing: daemon.Timing, Memory: gate, Log: requestLog}
 	if onStore {
 		callers.Dialect = platform.Dialect{}
 		k.Register(platform.DirectoryName, platform.NewDirectory(platform.DirectoryConfig{
--- a/dispatch/company.go
+++ b/dispatch/company.go
@@ -202,14 +202,28 @@
 	d.sightings.Append(list)
 }
 
+// everything returns what is believed of all targets.
+func (d *Dispatcher) everything() []schedule.Sighting {
+	var list []schedule.Sighting
+	for _, s := range d.all() {
+		s.mu.Lock()
+		list = append(list, s.scheduler.Everything(time.Now())...)
+		s.mu.Unlock()
+	}
+	return list
+}
+
 // Sightings returns what was seen behind a cursor, where the sequence goes on,
 // and a channel that is closed when there is more.
 func (d *Dispatcher) Sightings(c backlog.Cursor, first bool) ([]schedule.Sighting, backlog.Cursor, <-chan struct{}) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	if first {
-		return nil, d.sightings.End(), d.sightings.Changed()
+		everything := d.everything()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return everything, d.sightings.End(), d.sightings.Changed()
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	list, ok := d.sightings.Since(c)
 	if !ok {
 		d.cfg.Log.Warn().Msg("a peer missed sightings")
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -20,6 +20,10 @@
 // reportEvery is the time between two reports of tally to its reporter.
 const reportEvery = time.Second
 
+// latencyBuckets bounds the buckets of latencies in seconds: from the time that
+// a daemon adds to the longest deadlines of callers.
+var latencyBuckets = []float64{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 1.5, 2.5, 5, 10}
+
 // Registry holds the metrics of a process.
 type Registry struct {
 	scope    tally.Scope
@@ -30,7 +34,9 @@
 // New returns a registry without metrics.
 func New() *Registry {
 	own := client.NewRegistry()
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: own, Gatherer: own})
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: own, Gatherer: own, DefaultTimerType: prometheus.HistogramTimerType, DefaultHistogramBuckets: latencyBuckets,
+	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "briarrouter",
 		CachedReporter:         reporter,
--- a/peer/feed.go
+++ b/peer/feed.go
@@ -188,6 +188,7 @@
 		m.Sightings = append(m.Sightings, &peerpb.Sighting{
 			Service: string(g.Service), Target: string(g.Target), Incarnation: g.Incarnation,
 			Evidence: encodeEvidence(g.Evidence), Running: uint32(g.Running),
+			Whole: g.Whole, Sick: g.Sick, AgeMilliseconds: uint32(g.Age.Milliseconds()),
 		})
 	}
 	return m
@@ -199,6 +200,7 @@
 		list = append(list, schedule.Sighting{
 			Service: id.Service(g.GetService()), Target: id.Target(g.GetTarget()), Incarnation: g.GetIncarnation(),
 			Evidence: decodeEvidence(g.GetEvidence()), Running: int(g.GetRunning()),
+			Whole: g.GetWhole(), Sick: g.GetSick(), Age: time.Duration(g.GetAgeMilliseconds()) * time.Millisecond,
 		})
 	}
 	return list
--- a/registry/choice.go
+++ b/registry/choice.go
@@ -24,6 +24,9 @@
 	// startPatience is how long a starting daemon waits for peers before it
 	// reads for itself, unless it is one of the addresses that others ask first.
 	startPatience = 400 * time.Millisecond
+	// feedPatience is how long one that found peers waits for their copy. Small
+	// hosts start slowly, and a fleet that starts at once must not read as one.
+	feedPatience = 1500 * time.Millisecond
 	// badTime is how long a reader that failed is not followed.
 	badTime = time.Second
 	// calmTime is how long others must have been good before a daemon that reads
@@ -89,7 +92,7 @@
 	if len(fleet) <= 1 && !c.seed && now.Sub(c.started) < startPatience {
 		s.Platform = false
 	}
-	c.judgeNeed(now, age, peerAge)
+	c.judgeNeed(now, len(fleet) > 1, age, peerAge)
 	s.Platform = s.Platform || c.inNeed
 	s.Peers = c.follow(now, readers)
 	return s
@@ -97,13 +100,15 @@
 
 // judgeNeed decides whether the copy is so old that this daemon reads for
 // itself.
-func (c *chooser) judgeNeed(now time.Time, age, peerAge time.Duration) {
+func (c *chooser) judgeNeed(now time.Time, found bool, age, peerAge time.Duration) {
 	if peerAge < 0 || peerAge > patience {
 		c.peersGood = time.Time{}
 	} else if c.peersGood.IsZero() {
 		c.peersGood = now
 	}
 	switch {
+	case age < 0 && found:
+		c.inNeed = now.Sub(c.started) >= feedPatience
 	case age < 0:
 		c.inNeed = now.Sub(c.started) >= startPatience
 	case age > patience:
--- a/router/router.go
+++ b/router/router.go
@@ -143,7 +143,9 @@
 
 // Handle answers a request that came from a caller.
 func (r *Router) Handle(ctx context.Context, req *work.Request) work.Answer {
+	started := time.Now()
 	answer := r.handle(ctx, req, "")
+	r.scope.Timer("request_seconds").Record(time.Since(started))
 	r.scope.Tagged(map[string]string{"outcome": string(answer.Outcome), "reason": string(answer.Reason)}).
 		Counter("requests").Inc(1)
 	return answer
--- a/schedule/choice.go
+++ b/schedule/choice.go
@@ -83,6 +83,9 @@
 		return nil
 	}
 	suspect := s.suspects.Suspect(job.Fingerprint)
+	if t := s.newcomer(now, job, suspect); t != nil {
+		return t
+	}
 	if t := s.spread(now, job, suspect); t != nil {
 		return t
 	}
--- a/schedule/result.go
+++ b/schedule/result.go
@@ -63,14 +63,18 @@
 	s.tellAbsent(now)
 }
 
-// beginPending notes that the job that waits on a target begins to run there.
+// beginPending notes that the job that waits longest on a target begins to run
+// there.
 func (s *Scheduler) beginPending(now time.Time, t *target) {
+	var first *grant
 	for _, g := range s.granted {
-		if g.target == t && g.pending {
-			g.pending, g.since = false, now
-			return
+		if g.target == t && g.pending && (first == nil || g.job.Ticket < first.job.Ticket) {
+			first = g
 		}
 	}
+	if first != nil {
+		first.pending, first.since = false, now
+	}
 }
 
 // fastShare is the part of the usual time of a route below which a failure is
--- a/schedule/sighting.go
+++ b/schedule/sighting.go
@@ -18,6 +18,11 @@
 	Evidence []suspicion.Evidence
 	// Running is how many requests of the daemon the target has.
 	Running int
+	// Whole tells that Sick and Age stand for all that the daemon knows, for one
+	// that begins to follow it.
+	Whole bool
+	Sick  float64
+	Age   time.Duration
 }
 
 // maxEvidence bounds the evidence that is told at once: a few outcomes decide.
@@ -65,6 +70,22 @@
 	return list
 }
 
+// Everything returns what this daemon believes of its targets.
+func (s *Scheduler) Everything(now time.Time) []Sighting {
+	var list []Sighting
+	for _, t := range s.targets {
+		age, known := t.belief.Age(now)
+		if !known {
+			continue
+		}
+		list = append(list, Sighting{
+			Service: s.policy.Name, Target: t.endpoint.ID, Incarnation: t.endpoint.Incarnation,
+			Running: t.running, Whole: true, Sick: t.belief.Last(), Age: age,
+		})
+	}
+	return list
+}
+
 // Learn takes what another daemon saw of the service's targets.
 func (s *Scheduler) Learn(now time.Time, from id.Host, list []Sighting) {
 	for _, g := range list {
@@ -81,6 +102,14 @@
 		t.company = make(map[id.Host]company)
 	}
 	t.company[from] = company{running: g.Running, at: now}
+	if g.Whole {
+		at := now.Add(-g.Age)
+		t.belief.Adopt(at, g.Sick)
+		if at.After(t.used) {
+			t.used = at
+		}
+		return
+	}
 	t.used = now
 	for _, e := range g.Evidence[:min(len(g.Evidence), maxEvidence)] {
 		if e.Valid() {
--- a/schedule/spread.go
+++ b/schedule/spread.go
@@ -17,6 +17,32 @@
 	spreadUnserved = 0.08
 )
 
+const (
+	// newIdle is how long a target that never had work may be left without any
+	// while idempotent work comes, and newIdleAny while only other work does.
+	newIdle    = 800 * time.Millisecond
+	newIdleAny = 2 * time.Second
+)
+
+// newcomer returns a target that never had work and gets this job, or nil.
+// Ranks alone would keep work with the targets that are known for long, and
+// those that joined to help would stand idle.
+func (s *Scheduler) newcomer(now time.Time, job Job, suspect bool) *target {
+	idle := newIdleAny
+	if job.Route.Idempotent {
+		idle = newIdle
+	}
+	if s.policy.Spread == 0 || len(job.Tried) > 0 {
+		return nil
+	}
+	for _, t := range s.targets {
+		if t.used.IsZero() && now.Sub(t.listed) >= idle && s.eligible(now, t, job, suspect) {
+			return t
+		}
+	}
+	return nil
+}
+
 // spread returns the target that work must go to so that enough of the targets
 // get some, or nil. It answers the load of a service of which much fails: work
 // that keeps to the few targets with fresh successes would never find out which
@@ -55,8 +81,8 @@
 	servedBuckets = 8
 	servedSpan    = 250 * time.Millisecond
 	// unservedLeast is how many requests must have gone unserved: of the few that
-	// one daemon sees in a quiet hour, one or two are no sign.
-	unservedLeast = 4
+	// one daemon sees in a quiet hour, some are no sign.
+	unservedLeast = 6
 )
 
 // served counts the requests of the last two seconds and those of them that
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -75,6 +75,8 @@
 	// used is when a request was last sent by this daemon or, as far as they
 	// told, by others.
 	used time.Time
+	// listed is when the target was first seen.
+	listed time.Time
 }
 
 const (
--- a/suspicion/suspicion.go
+++ b/suspicion/suspicion.go
@@ -78,6 +78,17 @@
 	b.at = now
 }
 
+// Last returns the probability as of the last outcome.
+func (b *Belief) Last() float64 { return b.sick }
+
+// Adopt takes another's belief as of a time, unless this one is newer or that
+// one is no probability.
+func (b *Belief) Adopt(at time.Time, sick float64) {
+	if at.After(b.at) && sick >= 0 && sick <= 1 {
+		b.sick, b.at = min(maxSick, sick), at
+	}
+}
+
 // Age returns how long ago the last outcome was, or false where there was none.
 func (b *Belief) Age(now time.Time) (time.Duration, bool) {
 	return now.Sub(b.at), !b.at.IsZero()
