Use fresh connections where targets forget idle ones; keep what is idle for others

Unrepeatable work also threw idle connections away that idempotent work could use. Change: a connection that is lost after 50 ms idle or more makes its service use connections that were just used for ten seconds; the pool leaves older ones in place. Daemons without callers get no retries of the allowance.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -55,6 +55,7 @@
 		return exchange.Reply{Ending: outcome.NotWritten, Err: context.DeadlineExceeded}
 	}
 	reply := pool.Do(x.of.ctx, x.call(req, x.of.route, contract, x.number))
+	x.service.learnIdle(&reply)
 	x.judge(&reply, contract)
 	if reply.Ending != outcome.Answered || reply.Rest == nil {
 		x.end(reply.Ending)
@@ -91,13 +92,9 @@
 		left := req.Deadline.Sub(x.started).Milliseconds()
 		header.Set(contract.DeadlineHeader, strconv.FormatInt(left, 10))
 	}
-	maxIdle := idleLimit
-	if !route.Idempotent {
-		maxIdle = idleForUnsafe
-	}
 	return exchange.Call{
 		Method: req.Method, URI: req.URI, Host: req.Host, Header: header, Body: req.Body,
-		MaxIdle: maxIdle, EchoHeader: contract.EchoHeader, Echo: attemptID,
+		MaxIdle: x.service.maxIdle(route), EchoHeader: contract.EchoHeader, Echo: attemptID,
 		Unframed: contract.Unframed, SignatureHeader: contract.SignatureHeader,
 	}
 }
--- a/dispatch/company.go
+++ b/dispatch/company.go
@@ -51,8 +51,6 @@
 	Serving bool
 	// Others lists the other ones.
 	Others []id.Host
-	// Fleet is how many daemons there are in all.
-	Fleet int
 }
 
 // Accompany names the daemons that callers are steered to. If this daemon is one
@@ -79,8 +77,8 @@
 		}
 	}
 	d.mu.Unlock()
-	if c.Serving != before.Serving || len(c.Others) != len(before.Others) || c.Fleet != before.Fleet {
-		d.cfg.Log.Info().Bool("Serving", c.Serving).Int("Others", len(c.Others)).Int("Fleet", c.Fleet).Msg("daemons that callers use change")
+	if c.Serving != before.Serving || len(c.Others) != len(before.Others) {
+		d.cfg.Log.Info().Bool("Serving", c.Serving).Int("Others", len(c.Others)).Msg("daemons that callers use change")
 		for _, s := range d.all() {
 			s.allot()
 		}
@@ -96,7 +94,7 @@
 		if c.Serving {
 			servers++
 		}
-		cfg.Burst = retry.Allot(p.RetryBurst, c.Serving, servers, c.Fleet)
+		cfg.Burst = retry.Allot(p.RetryBurst, c.Serving, servers)
 	}
 	return cfg
 }
--- a/dispatch/handle.go
+++ b/dispatch/handle.go
@@ -140,9 +140,13 @@
 	return allowed && route.Idempotent && s.takeRetry(attempt, req, route)
 }
 
+// leastRetry is the time that must be left for another attempt: less than any
+// target needs for work.
+const leastRetry = 10 * time.Millisecond
+
 // takeRetry takes the right to another attempt.
 func (s *serviceDispatcher) takeRetry(attempt int, req *work.Request, route *configuration.Route) bool {
-	if !req.Body.Replayable() {
+	if !req.Body.Replayable() || time.Until(req.Deadline) < leastRetry {
 		return false
 	}
 	s.mu.Lock()
--- a/dispatch/log.go
+++ b/dispatch/log.go
@@ -27,6 +27,7 @@
 		Float64("Load", in.Load).
 		Float64("Sick", in.Sick).
 		Dur("EvidenceAge", in.Age).
+		Dur("Idle", reply.Idle).
 		Dur("Waited", x.waited).
 		Dur("Elapsed", x.result.Elapsed).
 		Dur("Left", time.Until(x.of.req.Deadline)).
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -9,6 +9,7 @@
 	"github.com/briarrouter/briarrouter/configuration"
 	"github.com/briarrouter/briarrouter/exchange"
 	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/outcome"
 	"github.com/briarrouter/briarrouter/quarantine"
 	"github.com/briarrouter/briarrouter/retry"
 	"github.com/briarrouter/briarrouter/schedule"
@@ -37,6 +38,9 @@
 	last schedule.Ticket
 	// connections has an entry for each listed target.
 	connections map[id.Target]*connection
+	// freshUntil is until when only connections are used that were just used,
+	// because a target forgot idle ones.
+	freshUntil time.Time
 	// listed is closed when the first list of targets came.
 	listed chan struct{}
 	// used is when the last request came; probes stop when the service lies
@@ -203,8 +207,40 @@
 	idleLimit     = 30 * time.Second
 	answerHead    = 64 << 10
 	idleForUnsafe = time.Second
+	// forgotten is the least idle time after which a lost connection shows that
+	// its target forgets idle ones.
+	forgotten = 50 * time.Millisecond
+	// freshTime is how long only connections are used after that that were idle
+	// for less.
+	freshTime = 10 * time.Second
 )
 
+// maxIdle returns how long a connection may have been idle that a request of a
+// route is sent on.
+func (s *serviceDispatcher) maxIdle(route *configuration.Route) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case time.Now().Before(s.freshUntil):
+		return forgotten
+	case route.Idempotent:
+		return idleLimit
+	default:
+		return idleForUnsafe
+	}
+}
+
+// learnIdle notes where a target forgot an idle connection: whatever is sent on
+// it is reset, and nobody knows then whether it ran.
+func (s *serviceDispatcher) learnIdle(reply *exchange.Reply) {
+	if reply.Idle < forgotten || (reply.Ending != outcome.Lost && reply.Ending != outcome.WriteFailed) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.freshUntil = time.Now().Add(freshTime)
+}
+
 // connection returns the open connections of a target, or starts new ones with
 // a task that probes the target.
 func (s *serviceDispatcher) connection(ctx context.Context, e schedule.Endpoint) *connection {
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -110,6 +110,14 @@
 	}
 }
 
+// idle returns how long the connection has been idle; negative for a new one.
+func (c *conn) idle() time.Duration {
+	if c.idleSince.IsZero() {
+		return -1
+	}
+	return time.Since(c.idleSince)
+}
+
 // fresh tells whether the connection was idle for no longer than the limit and
 // than the other side allows.
 func (c *conn) fresh(limit time.Duration) bool {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -52,6 +52,8 @@
 	// ToHead is the time from the first byte of the request to the answer's
 	// head.
 	ToHead time.Duration
+	// Idle is how long the connection had been idle; negative for a new one.
+	Idle time.Duration
 	// release gives back the memory of Held.
 	release func()
 }
@@ -79,7 +81,9 @@
 	}
 	x := &running{pool: p, conn: c, ctx: ctx, method: call.Method}
 	x.stop = context.AfterFunc(ctx, c.interrupt)
+	idle := c.idle()
 	reply := x.run(call)
+	reply.Idle = idle
 	if reply.Ending != outcome.Answered {
 		reply.Release()
 		x.abandon()
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -55,23 +55,41 @@
 
 var errPoolFull = errors.New("every connection to the address is taken")
 
-// take returns an idle connection that was used within maxIdle, or a new one.
+// take returns an idle connection that was used within maxIdle, or a new one. A
+// connection that was idle for longer stays for those who mind less.
 func (p *Pool) take(ctx context.Context, maxIdle time.Duration) (*conn, error) {
 	for {
 		c, err := p.takeIdle()
-		if err != nil {
+		switch {
+		case err != nil:
 			return nil, err
-		}
-		if c == nil {
+		case c == nil:
 			return p.dial(ctx)
-		}
-		if c.fresh(maxIdle) && c.alive() == nil {
+		case c.alive() != nil || !c.fresh(p.cfg.IdleLimit):
+			p.discard(c)
+		case c.fresh(maxIdle):
 			return c, nil
+		case p.giveBack(c):
+			return p.dial(ctx)
+		default:
+			p.discard(c)
 		}
-		p.discard(c)
 	}
 }
 
+// giveBack puts a connection back that was not used, and takes the right to dial
+// another one. It returns false where there is no such right.
+func (p *Pool) giveBack(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open >= p.cfg.Connections || p.closed {
+		return false
+	}
+	p.idle = append(p.idle, c)
+	p.open++
+	return true
+}
+
 // takeIdle returns an idle connection, or nil with the right to dial one.
 func (p *Pool) takeIdle() (*conn, error) {
 	p.mu.Lock()
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -42,9 +42,10 @@
 func NewBudget(cfg Config) *Budget { return &Budget{cfg: cfg, tokens: cfg.burst(), most: cfg.burst()} }
 
 const (
-	// idleBurst is the burst of a daemon that callers are not steered to: the
-	// stray requests that it gets need few retries.
-	idleBurst = 1
+	// idleBurst is the burst of a daemon that callers are not steered to. It is
+	// less than one retry: the stray requests that such a daemon gets are not
+	// worth what a hundred of them would take from the others.
+	idleBurst = 0.5
 	// allotted is the part of a fleet's allowance that is dealt out. The rest is
 	// for daemons that leave the set that callers use while others join it.
 	allotted = 0.85
@@ -54,13 +55,12 @@
 // within a total allowance. It answers the load of a platform that counts the
 // retries of all daemons together, which share nothing that they could count
 // with. Serving tells that callers are steered to this daemon, as they are to
-// the given number of servers in the fleet.
-func Allot(total float64, serving bool, servers, fleet int) float64 {
+// the given number of servers in all.
+func Allot(total float64, serving bool, servers int) float64 {
 	if !serving || servers == 0 {
 		return idleBurst
 	}
-	idle := idleBurst * float64(max(0, fleet-servers))
-	return max(idleBurst, (allotted*total-idle)/float64(servers))
+	return max(1, allotted*total/float64(servers))
 }
 
 // SetConfig changes what is allowed.
--- a/router/prepare.go
+++ b/router/prepare.go
@@ -85,7 +85,7 @@
 func (r *Router) prepare(snapshot *configuration.Snapshot) {
 	self := r.peers.Self()
 	if r.local {
-		r.runner.Accompany(company(r.ranks.sharedList(r.peers), self, len(r.peers.Members())))
+		r.runner.Accompany(company(r.ranks.sharedList(r.peers), self))
 	}
 	for name, policy := range snapshot.Services {
 		if r.local {
@@ -102,8 +102,8 @@
 }
 
 // company returns the daemons that callers of every service use.
-func company(shared []roster.Member, self roster.Member, fleet int) dispatch.Company {
-	c := dispatch.Company{Fleet: fleet}
+func company(shared []roster.Member, self roster.Member) dispatch.Company {
+	var c dispatch.Company
 	for _, m := range shared {
 		if m.Host == self.Host {
 			c.Serving = true
