Reach enough targets at all times where sudden losses would show

Change: targets that succeeded within two seconds rank alike, so that work rotates; a service whose usual time is a fifth of a second or more reaches three quarters of its targets in 1.8 s. TestLoads shows the share of narrow moments.

--- a/dispatch/company.go
+++ b/dispatch/company.go
@@ -90,11 +90,7 @@
 	cfg := retry.Config{Share: p.RetryShare}
 	if p.RetryBurst > 0 {
 		c := d.company.Load()
-		servers := len(c.Others)
-		if c.Serving {
-			servers++
-		}
-		cfg.Burst = retry.Allot(p.RetryBurst, c.Serving, servers)
+		cfg.Burst = retry.Allot(p.RetryBurst, c.Serving, c.servers())
 	}
 	return cfg
 }
@@ -104,6 +100,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.budget.SetConfig(s.owner.budgetConfig(s.policy))
+	s.scheduler.SetServers(s.owner.company.Load().servers())
+}
+
+// servers returns how many daemons callers are steered to, as far as this one is
+// among them.
+func (c *Company) servers() int {
+	if c.Serving {
+		return len(c.Others) + 1
+	}
+	return len(c.Others)
 }
 
 func (c *companion) run() {
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -75,6 +75,7 @@
 		listed:      make(chan struct{}),
 	}
 	s.scheduler.SetDomain(owner.cfg.Domain)
+	s.scheduler.SetServers(owner.company.Load().servers())
 	return s
 }
 
--- a/schedule/choice.go
+++ b/schedule/choice.go
@@ -168,6 +168,11 @@
 	nearBody = 0.05
 )
 
+// doubt is the probability of being sick below which targets count alike: that
+// of one that succeeded within the last two seconds. Finer ranks would keep all
+// work on a few targets, and the others out of service.
+const doubt = 0.06
+
 // cost orders the eligible targets; the lowest is chosen.
 func (s *Scheduler) cost(now time.Time, t *target, job Job) float64 {
 	cost := t.load(now) / float64(s.targetCapacity(now, t))
@@ -176,7 +181,7 @@
 		weight *= exploring
 	}
 	if weight > 0 {
-		cost += weight * t.sick(now)
+		cost += weight * max(doubt, t.sick(now))
 	}
 	if s.policy.Distance > 0 && t.endpoint.FailureDomain != s.domain {
 		cost += s.policy.Distance * max(nearBody, float64(job.Size)/float64(distanceUnit))
--- a/schedule/load_test.go
+++ b/schedule/load_test.go
@@ -46,12 +46,16 @@
 // played is what callers got.
 type played struct {
 	asked, served, late, lost, refused int
-	safeAsked, safeServed              int
+	// looks counts the moments at which the spread was looked at, and narrow
+	// those of them at which too few of the targets that had not failed for two
+	// seconds had got work in that time.
+	looks, narrow int
 }
 
 func (p played) String() string {
 	share := func(n int) float64 { return math.Round(1000*float64(n)/float64(p.asked)) / 10 }
-	return fmt.Sprintf("served %.1f%%, in time %.1f%%, failed %.1f%%, refused %.1f%%", share(p.served), share(p.served-p.late), share(p.lost), share(p.refused))
+	return fmt.Sprintf("served %.1f%%, in time %.1f%%, failed %.1f%%, refused %.1f%%, narrow %.1f%%",
+		share(p.served), share(p.served-p.late), share(p.lost), share(p.refused), 100*float64(p.narrow)/float64(max(1, p.looks)))
 }
 
 const (
@@ -60,6 +64,9 @@
 	deadline   = 2 * time.Second
 	ownErrors  = 0.012
 	shareDelay = 30 * time.Millisecond
+	// floorWindow and floorShare are what platforms look at.
+	floorWindow = 2 * time.Second
+	floorShare  = 0.7
 )
 
 // event is something that happens at a time.
@@ -83,18 +90,20 @@
 
 // player plays a load.
 type player struct {
-	load       load
-	now        time.Time
-	start      time.Time
-	queue      events
-	seq        int
-	random     *rand.Rand
-	sick       [][]bool
-	free       [][]time.Time
-	schedulers []*Scheduler
-	waiting    []map[Ticket]func(Decision)
-	ticket     Ticket
-	got        played
+	load   load
+	now    time.Time
+	start  time.Time
+	queue  events
+	seq    int
+	random *rand.Rand
+	sick   [][]bool
+	free   [][]time.Time
+	// used and failed hold when each target last got a request and failed one.
+	used, failed []time.Time
+	schedulers   []*Scheduler
+	waiting      []map[Ticket]func(Decision)
+	ticket       Ticket
+	got          played
 }
 
 func (w *player) after(d time.Duration, do func()) {
@@ -107,21 +116,23 @@
 func play(l load, span time.Duration, policy func(*configuration.Service), other chooserFunc) played {
 	w := &player{load: l, start: time.Unix(1000, 0), random: rand.New(rand.NewPCG(7, 11))}
 	w.now = w.start
-	for i := range l.targets {
+	for range l.targets {
 		var phases []bool
 		for range int(span/l.episode) + 2 {
 			phases = append(phases, w.random.Float64() < l.sick)
 		}
 		w.sick = append(w.sick, phases)
 		w.free = append(w.free, make([]time.Time, l.slots))
-		_ = i
 	}
+	w.used, w.failed = make([]time.Time, l.targets), make([]time.Time, l.targets)
+	w.after(5*time.Second, w.look)
 	for d := range daemons {
 		p := &configuration.Service{Name: "beds", Slots: l.slots, Floor: 1, LongShare: 1, Queue: 256, Attempts: 2, Avoidance: 8, Spread: 0.7}
 		if policy != nil {
 			policy(p)
 		}
 		s := New(p, quarantine.New(), rand.New(rand.NewPCG(uint64(d), 1)))
+		s.SetServers(daemons)
 		s.SetTargets(w.now, w.endpoints(0))
 		w.schedulers = append(w.schedulers, s)
 		w.waiting = append(w.waiting, make(map[Ticket]func(Decision)))
@@ -147,6 +158,21 @@
 	return w.got
 }
 
+// look looks at the spread.
+func (w *player) look() {
+	sound, got := 0, 0
+	for t := range w.load.targets {
+		if w.now.Sub(w.failed[t]) < floorWindow {
+			continue
+		}
+		sound++
+		got += count(w.now.Sub(w.used[t]) < floorWindow)
+	}
+	w.got.looks++
+	w.got.narrow += count(float64(got) < floorShare*float64(sound))
+	w.after(500*time.Millisecond, w.look)
+}
+
 func (w *player) endpoints(lost int) []Endpoint {
 	var list []Endpoint
 	for i := lost; i < w.load.targets; i++ {
@@ -192,9 +218,6 @@
 		safe := w.random.Float64() < w.load.safe
 		w.got.asked++
 		r := &playedRequest{player: w, daemon: w.random.IntN(daemons), safe: safe, begun: w.now, other: other}
-		if safe {
-			w.got.safeAsked++
-		}
 		r.attempt()
 		w.arrive(other)
 	})
@@ -246,6 +269,7 @@
 func (r *playedRequest) run(t int) {
 	w := r.player
 	r.tried = append(r.tried, t)
+	w.used[t] = w.now
 	phase := int(w.now.Sub(w.start)/w.load.episode) % len(w.sick[t])
 	sick := w.sick[t][phase]
 	began := w.now
@@ -268,6 +292,9 @@
 
 func (r *playedRequest) ended(began time.Time, failed bool) {
 	w := r.player
+	if failed {
+		w.failed[r.tried[len(r.tried)-1]] = w.now
+	}
 	if r.other == nil {
 		w.schedulers[r.daemon].Finish(w.now, r.job.Ticket, Result{Ending: outcome.Answered, Wrong: failed, Elapsed: w.now.Sub(began)})
 		defer w.deliver(r.daemon)
@@ -281,9 +308,6 @@
 		w.got.lost++
 	default:
 		w.got.served++
-		if r.safe {
-			w.got.safeServed++
-		}
 		if took > objective {
 			w.got.late++
 		}
--- a/schedule/result.go
+++ b/schedule/result.go
@@ -59,6 +59,9 @@
 		t.saw(e)
 	}
 	t.told.dirty = true
+	if r.Ending == outcome.Answered {
+		s.served.worked(now, r.Elapsed)
+	}
 	s.learn(now, g, r)
 	s.tellAbsent(now)
 }
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -92,6 +92,8 @@
 	ticked  time.Time
 	counts  Counts
 	served  served
+	// servers is how many daemons share the service's callers; at least 1.
+	servers int
 }
 
 // Counts counts what the scheduler decided.
@@ -108,6 +110,7 @@
 		suspects: suspects,
 		granted:  make(map[Ticket]*grant),
 		times:    make(map[id.Route]*estimate),
+		servers:  1,
 	}
 	s.queue.init(policy)
 	return s
@@ -214,6 +217,9 @@
 
 // Arrive decides about a new job.
 func (s *Scheduler) Arrive(now time.Time, job Job) Decision {
+	if len(job.Tried) == 0 {
+		s.served.arrived(now, job)
+	}
 	if s.suspects.Quarantined(now, job.Fingerprint) {
 		return s.refuse(work.Quarantined, 0)
 	}
--- a/schedule/spread.go
+++ b/schedule/spread.go
@@ -7,14 +7,22 @@
 
 const (
 	// spreadWindow is the time within which the targets that must get work get
-	// some: well under the two seconds that platforms judge by.
-	spreadWindow = 1200 * time.Millisecond
+	// some: under the two seconds that platforms judge by.
+	spreadWindow = 1800 * time.Millisecond
 	// spreadMargin is added to the share of the targets that must get work,
 	// since this daemon does not know which of them the platform holds for sound.
-	spreadMargin = 0.08
-	// spreadUnserved is the share of unserved requests from which work spreads:
-	// somewhat under the tenth from which platforms look at it.
+	spreadMargin = 0.05
+	// spreadTraffic is the part of a service's requests that may be led by this.
+	// A service with little traffic cannot reach all of its targets in time.
+	spreadTraffic = 0.4
+	// spreadUnserved is the share of unserved requests from which work spreads
+	// whatever the traffic: somewhat under the tenth from which platforms look.
 	spreadUnserved = 0.08
+	// spreadFlight is the share of two seconds' requests that run at any moment
+	// from which work spreads at all times: if every daemon is lost at once, so
+	// many go unserved. Each target that is tried in doubt costs a part of its
+	// work, so services of shorter work keep to the targets that are well.
+	spreadFlight = 0.1
 )
 
 const (
@@ -44,13 +52,13 @@
 }
 
 // spread returns the target that work must go to so that enough of the targets
-// get some, or nil. It answers the load of a service of which much fails: work
-// that keeps to the few targets with fresh successes would never find out which
-// of the others are well again. While most requests are served it costs more than
-// it finds: each target that is tried in doubt fails a part of its work. The
-// targets that are most in doubt are left out as far as the share allows.
+// get some, or nil. It answers the load of a service whose targets fail by turns:
+// work that keeps to those with fresh successes would never find out which of the
+// others are well again, and when something else fails, those would be missed.
+// Idempotent work, which may be tried again, does it where there is enough of it.
+// The targets that are most in doubt are left out as far as the share allows.
 func (s *Scheduler) spread(now time.Time, job Job, suspect bool) *target {
-	if s.policy.Spread == 0 || len(job.Tried) > 0 || s.served.unserved(now) < spreadUnserved {
+	if s.policy.Spread == 0 || len(job.Tried) > 0 {
 		return nil
 	}
 	touched, staying := 0, 0
@@ -68,14 +76,34 @@
 			best = t
 		}
 	}
-	if touched >= int(math.Ceil((float64(s.policy.Spread)+spreadMargin)*float64(staying))) {
+	need := int(math.Ceil((float64(s.policy.Spread) + spreadMargin) * float64(staying)))
+	if touched >= need || !s.spreads(now, job, need) {
 		return nil
 	}
 	return best
 }
 
+// spreads tells whether a job may be led by the need to reach targets.
+func (s *Scheduler) spreads(now time.Time, job Job, need int) bool {
+	if s.served.unserved(now) >= spreadUnserved {
+		return true
+	}
+	recent := s.served.sum(now)
+	if recent.flight() < spreadFlight || float64(need) > spreadTraffic*float64(recent.arrived*s.servers) {
+		return false
+	}
+	return job.Route.Idempotent || recent.idempotent*s.servers < need
+}
+
+// SetServers tells how many daemons, with this one, share the service's callers.
+func (s *Scheduler) SetServers(n int) { s.servers = max(1, n) }
+
 // Served records whether a request got an answer of success in the end.
-func (s *Scheduler) Served(now time.Time, ok bool) { s.served.add(now, ok) }
+func (s *Scheduler) Served(now time.Time, ok bool) {
+	b := s.served.bucket(now)
+	b.ended++
+	b.unserved += count(!ok)
+}
 
 const (
 	servedBuckets = 8
@@ -85,40 +113,73 @@
 	unservedLeast = 6
 )
 
+// bucket counts the requests of a span.
+type bucket struct {
+	arrived, idempotent, ended, unserved int
+	// runs counts the attempts that ended, and worked sums their times.
+	runs   int
+	worked time.Duration
+}
+
+// flight returns the share of two seconds' requests that run at any moment.
+func (b bucket) flight() float64 {
+	if b.runs == 0 {
+		return 0
+	}
+	return float64(b.worked) / float64(b.runs) / float64(servedBuckets*servedSpan)
+}
+
 // served counts the requests of the last two seconds and those of them that
 // were not served.
 type served struct {
-	buckets [servedBuckets]struct{ all, unserved int }
+	buckets [servedBuckets]bucket
 	// current is the number of the bucket in use since the zero time.
 	current int64
 }
 
-func (c *served) turn(now time.Time) {
+// bucket returns the bucket of now, and clears those that are too old.
+func (c *served) bucket(now time.Time) *bucket {
 	n := now.UnixNano() / int64(servedSpan)
 	for i := max(c.current+1, n-servedBuckets+1); i <= n; i++ {
-		c.buckets[i%servedBuckets] = struct{ all, unserved int }{}
+		c.buckets[i%servedBuckets] = bucket{}
 	}
 	c.current = max(c.current, n)
+	return &c.buckets[c.current%servedBuckets]
 }
 
-func (c *served) add(now time.Time, ok bool) {
-	c.turn(now)
-	b := &c.buckets[c.current%servedBuckets]
-	b.all++
-	b.unserved += count(!ok)
+func (c *served) sum(now time.Time) bucket {
+	c.bucket(now)
+	var sum bucket
+	for _, b := range c.buckets {
+		sum.arrived += b.arrived
+		sum.idempotent += b.idempotent
+		sum.ended += b.ended
+		sum.unserved += b.unserved
+		sum.runs += b.runs
+		sum.worked += b.worked
+	}
+	return sum
+}
+
+func (c *served) arrived(now time.Time, job Job) {
+	b := c.bucket(now)
+	b.arrived++
+	b.idempotent += count(job.Route.Idempotent)
+}
+
+// worked records how long an attempt took.
+func (c *served) worked(now time.Time, took time.Duration) {
+	b := c.bucket(now)
+	b.runs++
+	b.worked += took
 }
 
 // unserved returns the share of requests that were not served; zero where there
 // were too few.
 func (c *served) unserved(now time.Time) float64 {
-	c.turn(now)
-	all, unserved := 0, 0
-	for _, b := range c.buckets {
-		all += b.all
-		unserved += b.unserved
-	}
-	if unserved < unservedLeast {
+	sum := c.sum(now)
+	if sum.unserved < unservedLeast {
 		return 0
 	}
-	return float64(unserved) / float64(all)
+	return float64(sum.unserved) / float64(sum.ended)
 }
