Reach every target while much goes unserved

Change: while 9% and three requests of a daemon's two seconds go unserved, work reaches every target, as far as the traffic allows.

--- a/schedule/spread.go
+++ b/schedule/spread.go
@@ -15,9 +15,9 @@
 	// spreadTraffic is the part of a service's requests that may be led by this.
 	// A service with little traffic cannot reach all of its targets in time.
 	spreadTraffic = 0.4
-	// spreadUnserved is the share of unserved requests from which work spreads
-	// whatever the traffic: somewhat under the tenth from which platforms look.
-	spreadUnserved = 0.08
+	// spreadUnserved is the share of unserved requests from which work reaches
+	// every target: somewhat under the tenth from which platforms look.
+	spreadUnserved = 0.09
 	// spreadFlight is the share of two seconds' requests that run at any moment
 	// from which work spreads at all times: if every daemon is lost at once, so
 	// many go unserved. Each target that is tried in doubt costs a part of its
@@ -76,23 +76,33 @@
 			best = t
 		}
 	}
-	need := int(math.Ceil((float64(s.policy.Spread) + spreadMargin) * float64(staying)))
-	if touched >= need || !s.spreads(now, job, need) {
+	if touched >= s.need(now, job, staying) {
 		return nil
 	}
 	return best
 }
 
-// spreads tells whether a job may be led by the need to reach targets.
-func (s *Scheduler) spreads(now time.Time, job Job, need int) bool {
-	if s.served.unserved(now) >= spreadUnserved {
-		return true
-	}
+// need returns how many of the targets must get work in a window, as far as this
+// job is to see to it.
+func (s *Scheduler) need(now time.Time, job Job, targets int) int {
 	recent := s.served.sum(now)
-	if recent.flight() < spreadFlight || float64(need) > spreadTraffic*float64(recent.arrived*s.servers) {
-		return false
+	share := float64(s.policy.Spread) + spreadMargin
+	if recent.unservedShare() >= spreadUnserved {
+		// Which of the targets are sound is not known, and it may be the few that
+		// would be left out.
+		share = 1
+	}
+	need := int(math.Ceil(share * float64(targets)))
+	switch {
+	case float64(need) > spreadTraffic*float64(recent.arrived*s.servers):
+		return 0
+	case recent.unservedShare() >= spreadUnserved:
+		return need
+	case recent.flight() < spreadFlight, !job.Route.Idempotent && recent.idempotent*s.servers >= need:
+		return 0
+	default:
+		return need
 	}
-	return job.Route.Idempotent || recent.idempotent*s.servers < need
 }
 
 // SetServers tells how many daemons, with this one, share the service's callers.
@@ -109,8 +119,8 @@
 	servedBuckets = 8
 	servedSpan    = 250 * time.Millisecond
 	// unservedLeast is how many requests must have gone unserved: of the few that
-	// one daemon sees in a quiet hour, some are no sign.
-	unservedLeast = 6
+	// one daemon sees in a quiet hour, one or two are no sign.
+	unservedLeast = 3
 )
 
 // bucket counts the requests of a span.
@@ -174,12 +184,11 @@
 	b.worked += took
 }
 
-// unserved returns the share of requests that were not served; zero where there
-// were too few.
-func (c *served) unserved(now time.Time) float64 {
-	sum := c.sum(now)
-	if sum.unserved < unservedLeast {
+// unservedShare returns the share of requests that were not served; zero where
+// too few were not.
+func (b bucket) unservedShare() float64 {
+	if b.unserved < unservedLeast {
 		return 0
 	}
-	return float64(sum.unserved) / float64(sum.ended)
+	return float64(b.unserved) / float64(b.ended)
 }
