--- a/registry/choice.go
+++ b/registry/choice.go
@@ -13,7 +13,7 @@
 	// is well while two are lost.
 	minReaders = 4
 	// followersPerReader bounds what one reader sends in a large fleet.
-	followersPerReader = 24
+	followersPerReader = 40
 	// followed is how many readers a daemon follows at once: while one of them
 	// fails in silence, the other brings what changes.
 	followed = 2
--- a/registry/reader.go
+++ b/registry/reader.go
@@ -15,6 +15,9 @@
 	// be in force two seconds later.
 	firstDelay = 100 * time.Millisecond
 	maxDelay   = 800 * time.Millisecond
+	// gatherTime is the pause after changes came: more of them are on their way
+	// when targets start or are replaced, and each call is charged.
+	gatherTime = 100 * time.Millisecond
 )
 
 // reader is the task that reads from the platform while this daemon is one of
@@ -75,6 +78,9 @@
 		return false
 	}
 	x.take(l, started)
+	if !l.Whole && len(l.Updates) > 0 {
+		clock.Sleep(x.ctx, gatherTime)
+	}
 	return true
 }
 
