Crowd well targets further before sick ones

Change: three requests on each slot before a target counts as full; nine tenths of the targets, not all, get work while much goes unserved.

--- a/schedule/choice.go
+++ b/schedule/choice.go
@@ -129,7 +129,7 @@
 // crowding is how many requests on each slot a target may have where targets
 // are ranked by suspicion. A request that waits there for another one is late by
 // the time of one; a target in doubt loses a quarter of those sent to it.
-const crowding = 2
+const crowding = 3
 
 // full tells whether a target has as many requests as it may be given.
 func (s *Scheduler) full(now time.Time, t *target, job Job, capacity int) bool {
--- a/schedule/spread.go
+++ b/schedule/spread.go
@@ -16,8 +16,10 @@
 	// A service with little traffic cannot reach all of its targets in time.
 	spreadTraffic = 0.4
 	// spreadUnserved is the share of unserved requests from which work reaches
-	// every target: somewhat under the tenth from which platforms look.
+	// most targets: somewhat under the tenth from which platforms look.
 	spreadUnserved = 0.09
+	// spreadWide is the share of the targets that must get work then.
+	spreadWide = 0.9
 	// spreadFlight is the share of two seconds' requests that run at any moment
 	// from which work spreads at all times: if every daemon is lost at once, so
 	// many go unserved. Each target that is tried in doubt costs a part of its
@@ -90,7 +92,7 @@
 	if recent.unservedShare() >= spreadUnserved {
 		// Which of the targets are sound is not known, and it may be the few that
 		// would be left out.
-		share = 1
+		share = spreadWide
 	}
 	need := int(math.Ceil(share * float64(targets)))
 	switch {
