Judge a failure's speed by other routes where its own has no times; scripts for avoiding

Cause: the script of avoiding showed that the first failure of a route that had not succeeded yet, after 1 ms, counted as one after real work, so that the next unrepeatable requests went to the same target. Change: the least usual time of the other routes stands in.

--- a/schedule/result.go
+++ b/schedule/result.go
@@ -54,7 +54,7 @@
 	if r.Load != nil {
 		t.others, t.othersAt = max(0, r.Load.Running+r.Load.Waiting-t.running-1), now
 	}
-	if e, known := r.evidence(s.estimate(g.job.Route.Name).mean()); known {
+	if e, known := r.evidence(s.usual(g.job.Route.Name)); known {
 		t.belief.Observe(now, e)
 		t.saw(e)
 	}
@@ -166,6 +166,21 @@
 	}
 }
 
+// usual returns how long requests of a route run; the least of the other routes'
+// times where none of its own has ended well yet.
+func (s *Scheduler) usual(r id.Route) time.Duration {
+	if mean := s.estimate(r).mean(); mean > 0 {
+		return mean
+	}
+	var least time.Duration
+	for _, e := range s.times {
+		if mean := e.mean(); mean > 0 && (least == 0 || mean < least) {
+			least = mean
+		}
+	}
+	return least
+}
+
 func (s *Scheduler) observe(now time.Time, sample health.Sample) {
 	if s.policy.Evidence > 0 && s.judge.Observe(now, sample) {
 		s.counts.Ejected++
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -13,6 +13,7 @@
 	"github.com/briarrouter/briarrouter/outcome"
 	"github.com/briarrouter/briarrouter/quarantine"
 	"github.com/briarrouter/briarrouter/scripttest"
+	"github.com/briarrouter/briarrouter/suspicion"
 	"github.com/briarrouter/briarrouter/unit"
 	"github.com/briarrouter/briarrouter/work"
 )
@@ -49,6 +50,16 @@
 		return s.next()
 	case "floor", "warmup":
 		return s.set(w[0], w[1])
+	case "avoid":
+		policy := *s.policy
+		policy.Avoidance, policy.Spread, policy.Evidence = 8, 0.7, 0
+		s.policy = &policy
+		s.scheduler.SetPolicy(s.policy)
+		return ""
+	case "told":
+		return s.told(w[1], w[2], w[3:])
+	case "tells":
+		return s.tells()
 	case "targets":
 		return s.targets(w[1:])
 	case "arrive":
@@ -77,6 +88,30 @@
 	return ""
 }
 
+// told takes what another daemon saw of a target: ok, failure or fast, and
+// running=N.
+func (s *script) told(from, target string, seen []string) string {
+	g := Sighting{Service: "beds", Target: id.Target(target)}
+	for _, word := range seen {
+		if n, ok := strings.CutPrefix(word, "running="); ok {
+			g.Running, _ = strconv.Atoi(n)
+			continue
+		}
+		g.Evidence = append(g.Evidence, map[string]suspicion.Evidence{"ok": suspicion.Success, "failure": suspicion.Failure, "fast": suspicion.FastFailure}[word])
+	}
+	s.scheduler.Learn(s.clock.Now(), id.Host(from), []Sighting{g})
+	return ""
+}
+
+// tells shows what this daemon tells the others.
+func (s *script) tells() string {
+	var lines []string
+	for _, g := range s.scheduler.Sightings() {
+		lines = append(lines, fmt.Sprintf("%s evidence %v running %d", g.Target, g.Evidence, g.Running))
+	}
+	return strings.Join(lines, "\n")
+}
+
 func (s *script) targets(names []string) string {
 	var list []Endpoint
 	for _, n := range names {
