Hand lists of targets on in the order in which they were read

Cause: found in reading: two followed feeds, or a feed and the platform, hand a service's list on at the same moment; the one read first could be taken last, and a target that is gone would stay until the next change. Ruled out: the view itself and the feed (revisions order both). Change: a lock is held over reading a list and handing it on. No test brings the order about without a hook between the two; the race detector sees nothing in it.

--- a/registry/registry.go
+++ b/registry/registry.go
@@ -90,6 +90,10 @@
 	cancel  context.CancelFunc
 	group   conc.WaitGroup
 
+	// handing is held while a list is read and handed on, so that an older list
+	// never follows a newer one. It is taken before mu.
+	handing sync.Mutex
+
 	mu      sync.Mutex
 	view    *View
 	feed    *backlog.Log[Update]
@@ -317,6 +321,8 @@
 
 // hand tells who waits for the targets of a service.
 func (r *Registry) hand(s id.Service) {
+	r.handing.Lock()
+	defer r.handing.Unlock()
 	r.mu.Lock()
 	list, watchers := r.view.Targets(s), r.watchers[s]
 	r.mu.Unlock()
@@ -340,18 +346,23 @@
 
 // run gives a watcher the list that is there already.
 func (w *watcher) run(ctx context.Context, r *Registry, s id.Service) {
-	for ctx.Err() == nil {
-		r.mu.Lock()
-		ready, list := r.view.At() > 0, r.view.Targets(s)
-		r.mu.Unlock()
-		if ready {
-			w.take(list)
-			return
-		}
+	for ctx.Err() == nil && !w.first(r, s) {
 		clock.Sleep(ctx, firstWait)
 	}
 }
 
+func (w *watcher) first(r *Registry, s id.Service) bool {
+	r.handing.Lock()
+	defer r.handing.Unlock()
+	r.mu.Lock()
+	ready, list := r.view.At() > 0, r.view.Targets(s)
+	r.mu.Unlock()
+	if ready {
+		w.take(list)
+	}
+	return ready
+}
+
 // Changes returns what a follower at a cursor needs, where the feed goes on,
 // and a channel that is closed when there is more. A cursor of another process
 // must not be given.
