--- a/schedule/spread.go
+++ b/schedule/spread.go
@@ -16,15 +16,13 @@
 	// A service with little traffic cannot reach all of its targets in time.
 	spreadTraffic = 0.4
 	// spreadUnserved is the share of unserved requests from which work reaches
-	// most targets: somewhat under the tenth from which platforms look.
+	// every target: somewhat under the tenth from which platforms look.
 	spreadUnserved = 0.09
-	// spreadWide is the share of the targets that must get work then.
-	spreadWide = 0.9
 	// spreadFlight is the share of two seconds' requests that run at any moment
 	// from which work spreads at all times: if every daemon is lost at once, so
 	// many go unserved. Each target that is tried in doubt costs a part of its
 	// work, so services of shorter work keep to the targets that are well.
-	spreadFlight = 0.1
+	spreadFlight = 0.12
 )
 
 const (
@@ -90,9 +88,9 @@
 	recent := s.served.sum(now)
 	share := float64(s.policy.Spread) + spreadMargin
 	if recent.unservedShare() >= spreadUnserved {
-		// Which of the targets are sound is not known, and it may be the few that
-		// would be left out.
-		share = spreadWide
+		// Which of the targets are sound is not known, and those that would be left
+		// out as most in doubt have not failed lately just because of that.
+		share = 1
 	}
 	need := int(math.Ceil(share * float64(targets)))
 	switch {
