Take changed settings over while the daemon runs

Ruled out: a restart at SIGHUP (cuts requests); inotify (not available there). The store of configurations composes the one in force anew when terms change, under one lock with offers. Test: command TestReload (seven changes of the file, with and without a signal, two of them refused), golden.

--- a/caller/addresses.go
+++ b/caller/addresses.go
@@ -47,7 +47,7 @@
 	service := id.Service(r.URL.Query().Get("Service"))
 	list := Addresses{
 		Service:          service,
-		HoldMilliseconds: s.cfg.Timing.Hold.Milliseconds(),
+		HoldMilliseconds: s.timing.Load().Hold.Milliseconds(),
 		KeyPrefix:        s.handler.KeyPrefix(),
 	}
 	for _, m := range s.handler.Addresses(service, maxAddresses) {
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -75,6 +75,8 @@
 	policies policies
 	listener net.Listener
 	group    conc.WaitGroup
+	// timing is the time spans in force; never nil.
+	timing atomic.Pointer[settings.Timing]
 	// draining tells that every answer ends its connection.
 	draining atomic.Bool
 
@@ -91,9 +93,14 @@
 	if s.dialect == nil {
 		s.dialect = Dialect{}
 	}
+	s.timing.Store(&cfg.Timing)
 	return s
 }
 
+// SetTiming puts other time spans in force. A stop that has begun and a request
+// that is read keep those that they began with.
+func (s *Server) SetTiming(t settings.Timing) { s.timing.Store(&t) }
+
 // limits bounds what a caller may send.
 type limits = configuration.Limits
 
@@ -104,7 +111,7 @@
 // limits returns the bounds of the configuration in force, or those of the
 // settings where it has none.
 func (s *Server) limits() limits {
-	l := limits{Header: s.cfg.Limits.RequestHeader, Body: s.cfg.Limits.RequestBody, HeadTimeout: s.cfg.Timing.SlowCaller, IdleTimeout: idleTimeout}
+	l := limits{Header: s.cfg.Limits.RequestHeader, Body: s.cfg.Limits.RequestBody, HeadTimeout: s.timing.Load().SlowCaller, IdleTimeout: idleTimeout}
 	if s.policies == nil {
 		return l
 	}
@@ -194,8 +201,9 @@
 func (s *Server) Stop(ctx context.Context) error {
 	s.member.Leave()
 	s.draining.Store(true)
-	s.cfg.Log.Info().Dur("Hold", s.cfg.Timing.Hold).Int("Connections", s.open()).Msg("leaving; callers that hold this address are served")
-	timer := time.NewTimer(s.cfg.Timing.Hold + s.cfg.Timing.LeaveMargin)
+	timing := s.timing.Load()
+	s.cfg.Log.Info().Dur("Hold", timing.Hold).Int("Connections", s.open()).Msg("leaving; callers that hold this address are served")
+	timer := time.NewTimer(timing.Hold + timing.LeaveMargin)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/caller/connection.go
+++ b/caller/connection.go
@@ -52,7 +52,7 @@
 	c.inbox = newInbox(nc, c.cancel)
 	c.head = &headReader{inbox: c.inbox, left: -1}
 	c.reader = bufio.NewReaderSize(c.head, readBuffer)
-	c.writer = bufio.NewWriterSize(&pacedConn{nc, s.cfg.Timing.SlowCaller}, writeBuffer)
+	c.writer = bufio.NewWriterSize(&pacedConn{nc, s.timing.Load().SlowCaller}, writeBuffer)
 	return c
 }
 
@@ -242,7 +242,7 @@
 }
 
 func (b *pacedBody) Read(p []byte) (int, error) {
-	b.connection.setReadDeadline(b.connection.server.cfg.Timing.SlowCaller)
+	b.connection.setReadDeadline(b.connection.server.timing.Load().SlowCaller)
 	n, err := b.reader.Read(p)
 	b.left -= unit.Bytes(n)
 	if b.left < 0 {
--- /dev/null
+++ b/command/reload_test.go
@@ -0,0 +1,93 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/briarrouter/briarrouter/caller"
+	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/kernel"
+	"github.com/briarrouter/briarrouter/peer"
+	"github.com/briarrouter/briarrouter/platform"
+	"github.com/briarrouter/briarrouter/settings"
+	"github.com/rs/zerolog"
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+)
+
+// recorder is a service that writes down which settings it takes over.
+type recorder struct{ out *strings.Builder }
+
+func (recorder) Start(context.Context, *kernel.Kernel) error { return nil }
+func (recorder) Stop(context.Context) error                  { return nil }
+func (recorder) State() any                                  { return nil }
+
+func (r recorder) SetTiming(t settings.Timing) {
+	fmt.Fprintf(r.out, "  timing: hold %s, stop %s\n", t.Hold, t.Stop)
+}
+func (r recorder) SetSeeds(seeds []id.Address) { fmt.Fprintf(r.out, "  seeds: %v\n", seeds) }
+func (r recorder) SetHold(hold time.Duration)  { fmt.Fprintf(r.out, "  answers hold: %s\n", hold) }
+
+// reloadSteps are the changes of the file, each in place of one piece of the
+// last text that was good.
+var reloadSteps = []struct{ about, from, to string }{
+	{about: "nothing changed"},
+	{"other seeds", "10.1.0.2:8382", "10.1.0.3:8382"},
+	{"another retry share and a shorter longest hold", "retryBudgetRatio=0.2,ttl_max_s=5", "retryBudgetRatio=0.1,ttl_max_s=1"},
+	{"an address cannot change while the daemon runs", "8381", "9381"},
+	{"a broken file", "Hold = 2s", "Hold = soon"},
+	{"broken terms", "ttl_max_s=1", "ttl_max_s=soon"},
+	{"a good file again", "Stop = 5s", "Stop = 4s"},
+}
+
+// TestReload changes the settings file of a daemon that runs.
+func TestReload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out, log strings.Builder
+		path := filepath.Join(t.TempDir(), "settings.ini")
+		data, err := os.ReadFile("testdata/reload.ini")
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(path, data, 0o600))
+		current, err := settings.Parse(path, data)
+		require.NoError(t, err)
+		store := configuration.NewStore(configuration.StoreConfig{Log: zerolog.Nop(), Format: platform.Format{}})
+		docs := configuration.Documents{Index: []byte(`{"version":7,"services":[{"name":"beds","maxConns":3}]}`)}
+		require.Equal(t, configuration.Accepted, store.Offer(docs, "test"))
+		k := kernel.New()
+		k.Register(configuration.ServiceName, store)
+		for _, name := range []kernel.Name{caller.ServiceName, peer.ServiceName, platform.DirectoryName} {
+			k.Register(name, recorder{&out})
+		}
+		signals := make(chan os.Signal, 1)
+		r := &reloader{path: path, log: zerolog.New(&log), kernel: k, signals: signals, current: current, data: data}
+		ctx, cancel := context.WithCancel(t.Context())
+		go r.run(ctx)
+		text := string(data)
+		for i, step := range reloadSteps {
+			fmt.Fprintf(&out, "%s\n", step.about)
+			next := strings.Replace(text, step.from, step.to, 1)
+			require.NoError(t, os.WriteFile(path, []byte(next), 0o600))
+			if i%2 == 0 {
+				signals <- os.Interrupt
+			}
+			time.Sleep(settingsEvery)
+			synctest.Wait()
+			fmt.Fprintf(&out, "%s  in force: version %d, retry share %v, hold %s\n", strings.ReplaceAll(log.String(), path, "FILE"),
+				store.Version().Number, store.Current().Services["beds"].RetryShare, r.current.Timing.Hold)
+			log.Reset()
+			if _, err := settings.Parse(path, []byte(next)); err == nil && !strings.Contains(next, "ttl_max_s=soon") {
+				text = next
+			}
+		}
+		cancel()
+		synctest.Wait()
+		goldie.New(t).Assert(t, "reload", []byte(out.String()))
+	})
+}
--- a/command/serve.go
+++ b/command/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"slices"
@@ -36,7 +37,11 @@
 
 // Execute runs the daemon until a signal ends it.
 func (s *serve) Execute([]string) error {
-	daemon, err := settings.Read(s.Settings)
+	data, err := os.ReadFile(s.Settings)
+	if err != nil {
+		return invalid(fmt.Errorf("settings: %w", err))
+	}
+	daemon, err := settings.Parse(s.Settings, data)
 	if err != nil {
 		return invalid(err)
 	}
@@ -52,26 +57,22 @@
 	if err != nil {
 		return invalid(err)
 	}
-	return run(k, daemon, log)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	return run(k, &reloader{path: s.Settings, log: log, kernel: k, signals: reload, current: daemon, data: data})
 }
 
 // run starts the services, waits for a signal, and stops them.
-func run(k *kernel.Kernel, daemon settings.Daemon, log zerolog.Logger) error {
+func run(k *kernel.Kernel, r *reloader) error {
+	daemon, log := r.current, r.log
 	log.Info().Str("FailureDomain", string(daemon.FailureDomain)).Int("Seeds", len(daemon.Seeds)).Msg("starting")
 	if err := k.Start(context.Background()); err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	for ctx.Err() == nil {
-		select {
-		case <-reload:
-			log.Info().Msg("signal to reload; settings are read at the next start")
-		case <-ctx.Done():
-		}
-	}
+	r.run(ctx)
+	daemon = r.current
 	log.Info().Dur("Bound", daemon.Timing.Stop).Msg("stopping")
 	ctx = context.Background()
 	if daemon.Timing.Stop > 0 {
@@ -153,7 +154,7 @@
 	if onStore {
 		callers.Dialect = platform.Dialect{}
 		k.Register(platform.DirectoryName, platform.NewDirectory(platform.DirectoryConfig{
-			Resolve: daemon.Directory.Resolve, Ready: daemon.Directory.Ready, Hold: min(daemon.Timing.Hold, terms.MaxHold), Log: log,
+			Resolve: daemon.Directory.Resolve, Ready: daemon.Directory.Ready, Hold: hold(daemon, terms), Log: log,
 		}))
 	}
 	k.Register(caller.ServiceName, caller.New(callers))
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -29,10 +29,12 @@
 // Store holds the configuration in force. It starts empty and never goes back
 // to an earlier version.
 type Store struct {
-	log     zerolog.Logger
-	format  format
-	current atomic.Pointer[Snapshot]
-	refused atomic.Pointer[Refusal]
+	log zerolog.Logger
+	// changing is held while a configuration or the format changes.
+	changing sync.Mutex
+	format   atomic.Pointer[format]
+	current  atomic.Pointer[Snapshot]
+	refused  atomic.Pointer[Refusal]
 	// conflicts counts offers whose number was in force with other contents.
 	conflicts atomic.Int64
 	// first is closed when the first configuration is in force.
@@ -51,7 +53,25 @@
 	if cfg.Format == nil {
 		cfg.Format = INI{}
 	}
-	return &Store{log: cfg.Log, format: cfg.Format, first: make(chan struct{})}
+	s := &Store{log: cfg.Log, first: make(chan struct{})}
+	s.format.Store(&cfg.Format)
+	return s
+}
+
+// SetFormat reads configurations by another format from now on, and the one in
+// force anew. An error leaves everything as it was.
+func (s *Store) SetFormat(f format) error {
+	s.changing.Lock()
+	defer s.changing.Unlock()
+	if old := s.current.Load(); old != nil {
+		next, err := f.Compose(old.Documents)
+		if err != nil {
+			return err
+		}
+		s.current.Store(next)
+	}
+	s.format.Store(&f)
+	return nil
 }
 
 // Start does nothing: the store has no work of its own.
@@ -83,39 +103,33 @@
 
 // Collect gathers the documents of an index, as the store's format has them.
 func (s *Store) Collect(index []byte, get func(id.Service) ([]byte, error)) (Documents, error) {
-	return s.format.Collect(index, s.Current(), get)
+	return (*s.format.Load()).Collect(index, s.Current(), get)
 }
 
 // Offer puts the documents in force if they are whole and newer than what is
 // in force. The source is named in the log.
 func (s *Store) Offer(docs Documents, source string) Verdict {
-	next, err := s.format.Compose(docs)
+	s.changing.Lock()
+	defer s.changing.Unlock()
+	next, err := (*s.format.Load()).Compose(docs)
 	if err != nil {
 		s.refused.Store(&Refusal{Source: source, Reason: err.Error()})
 		s.log.Error().Str("Source", source).Err(err).Msg("configuration refused")
 		return Invalid
 	}
-	for {
-		old := s.current.Load()
-		inForce := id.ConfigVersion{}
-		if old != nil {
-			inForce = old.Version
-		}
-		verdict := Accept(inForce, next.Version)
-		if Conflict(inForce, next.Version) {
-			s.conflicts.Add(1)
-			s.log.Error().Str("Source", source).Stringer("InForce", inForce).Stringer("Offered", next.Version).
-				Msg("two configurations have the same version number")
-		}
-		if verdict != Accepted {
-			return verdict
-		}
-		if s.current.CompareAndSwap(old, next) {
-			s.firstOnce.Do(func() { close(s.first) })
-			s.log.Info().Str("Source", source).Stringer("Version", next.Version).Msg("configuration in force")
-			return Accepted
-		}
+	inForce := s.Version()
+	if Conflict(inForce, next.Version) {
+		s.conflicts.Add(1)
+		s.log.Error().Str("Source", source).Stringer("InForce", inForce).Stringer("Offered", next.Version).
+			Msg("two configurations have the same version number")
+	}
+	verdict := Accept(inForce, next.Version)
+	if verdict == Accepted {
+		s.current.Store(next)
+		s.firstOnce.Do(func() { close(s.first) })
+		s.log.Info().Str("Source", source).Stringer("Version", next.Version).Msg("configuration in force")
 	}
+	return verdict
 }
 
 // StoreState is the store's part of a dump.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -98,6 +98,8 @@
 	table *roster.Table
 	// links has an entry for each member with an address, but this daemon.
 	links map[id.Host]*link
+	// contacts has an entry for each address that is asked for its news.
+	contacts map[id.Address]bool
 	// answered lists the peers that answered since the start.
 	answered map[id.Host]bool
 	// connected is the roster's generation when the links were made.
@@ -116,6 +118,7 @@
 		cfg:      cfg,
 		table:    roster.New(roster.Config{Self: cfg.Self, Suspect: cfg.Timing.Suspect, Random: random}),
 		links:    make(map[id.Host]*link),
+		contacts: make(map[id.Address]bool),
 		answered: make(map[id.Host]bool),
 		spreads:  rate.NewLimiter(spreadRate, spreadBurst),
 	}
@@ -151,13 +154,22 @@
 	s.started = time.Now()
 	s.group.Go(func() { s.run(listener) })
 	s.group.Go(func() { s.loop(s.ctx) })
-	for _, address := range s.cfg.Seeds {
-		if address != s.cfg.Self.Peers {
+	s.SetSeeds(s.cfg.Seeds)
+	return nil
+}
+
+// SetSeeds takes the addresses of peers to ask. Those that are asked already
+// are asked on; they may still be the only ones that are up.
+func (s *Service) SetSeeds(seeds []id.Address) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, address := range seeds {
+		if address != s.cfg.Self.Peers && !s.contacts[address] {
+			s.contacts[address] = true
 			c := newContact(s, address)
 			s.group.Go(func() { c.run(s.ctx) })
 		}
 	}
-	return nil
 }
 
 func (s *Service) run(listener net.Listener) {
