Count a target that failed lately as one with work; soak with real processes

Cause: schedule.spread sent work to every target in doubt each 1.8 s while requests went unserved. Change: a target that failed within 3.8 s counts as reached. The new load 'few targets well' is played with the code as it is.

Also: the fault soak (package soak, command soak, stand-ins of the users' platform under platform/platformtest), and settings for addresses that differ from those listened on, which the soak's proxies need.

--- a/command/command.go
+++ b/command/command.go
@@ -97,6 +97,9 @@
 	mustAdd(parser.AddCommand("bench", "Measure the policy in virtual time",
 		"Measures detection, false ejections, service at the peak, waiting and flapping in a model of each service's targets, beside baselines.\n\n"+
 			"Example:\n  briarrouter bench --answers examples/agency.ini --service reservations --plot curve.svg", &benchPolicy{streams: std}))
+	mustAdd(parser.AddCommand("soak", "Bring random faults upon real processes",
+		"Runs daemons as separate processes behind proxies of the loopback, kills, pauses, stops, delays, cuts and resets them by a seed, and checks what callers and targets see.\n\n"+
+			"Example:\n  briarrouter soak --seed 1 --seeds 50\n\n"+exitCodes, &soakFleet{streams: std}))
 	standin := mustAdd(parser.AddCommand("standin", "Run a stand-in for an outside system",
 		"Runs a small program that takes the place of an outside system in a trial.", &struct{}{}))
 	mustAdd(standin.AddCommand("platform", "Run a stand-in for the platform",
--- a/command/serve.go
+++ b/command/serve.go
@@ -109,8 +109,8 @@
 	self := roster.Member{
 		Host:          daemon.Host,
 		FailureDomain: daemon.FailureDomain,
-		Callers:       daemon.Callers,
-		Peers:         daemon.Peers,
+		Callers:       daemon.Advertised.Callers,
+		Peers:         daemon.Advertised.Peers,
 		Incarnation:   id.NewIncarnation(a.now),
 		Room:          daemon.Room,
 	}
@@ -132,12 +132,12 @@
 		Log: requestLog, Scope: scope, Memory: gate, AnswerBuffer: daemon.Limits.AnswerBuffer, Domain: daemon.FailureDomain, Seed: seed,
 	}))
 	k.Register(peer.ServiceName, peer.New(peer.Config{
-		Self: self, Limits: daemon.Limits, Timing: daemon.Timing, Memory: gate, Scope: scope, Log: log, Seed: seed, Seeds: daemon.Seeds,
+		Self: self, Listen: daemon.Peers, Limits: daemon.Limits, Timing: daemon.Timing, Memory: gate, Scope: scope, Log: log, Seed: seed, Seeds: daemon.Seeds,
 	}))
 	if onStore {
 		k.Register(registry.ServiceName, registry.New(registry.Config{
 			Source: platform.NewStore(daemon.Store.Address), Log: log, Scope: scope,
-			Seed: slices.Contains(daemon.Seeds, daemon.Peers),
+			Seed: slices.Contains(daemon.Seeds, daemon.Advertised.Peers),
 		}))
 	} else {
 		k.Register(publication.ServiceName, publication.NewReader(publication.Config{Addresses: daemon.Platform, Log: log}))
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -64,7 +64,9 @@
 // Config makes a Service.
 type Config struct {
 	// Self is this daemon's first statement about itself.
-	Self   roster.Member
+	Self roster.Member
+	// Listen is the address to listen on. Others may be told another one.
+	Listen id.Address
 	Limits settings.Limits
 	Timing settings.Timing
 	Memory *memory.Gate
@@ -140,7 +142,7 @@
 	if s.sightings, err = kernel.Find[sightings](k, "dispatch"); err != nil {
 		return err
 	}
-	listener, err := quiet.Listen(context.Background(), "tcp", string(s.cfg.Self.Peers))
+	listener, err := quiet.Listen(context.Background(), "tcp", string(s.cfg.Listen))
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
--- a/schedule/load_test.go
+++ b/schedule/load_test.go
@@ -346,6 +346,7 @@
 	{name: "gray, a third of the targets lost", targets: 14, slots: 2, rate: 40, work: 140 * time.Millisecond, episode: 9 * time.Second, sick: 0.3, fails: 0.85, lost: 0.34},
 	{name: "gray, many slots", targets: 16, slots: 4, rate: 57, work: 260 * time.Millisecond, episode: 12 * time.Second, sick: 0.3, fails: 0.75},
 	{name: "most targets gray, much load", targets: 14, slots: 2, rate: 62, work: 140 * time.Millisecond, episode: 9 * time.Second, sick: 0.6, fails: 0.85},
+	{name: "few targets well, more than they take at times", targets: 14, slots: 2, rate: 55, work: 140 * time.Millisecond, episode: 12 * time.Second, sick: 0.55, fails: 0.85, burst: 1.7},
 	{name: "all well", targets: 14, slots: 2, rate: 100, work: 140 * time.Millisecond, episode: 9 * time.Second, fails: 1},
 }
 
--- a/schedule/result.go
+++ b/schedule/result.go
@@ -55,7 +55,7 @@
 		t.others, t.othersAt = max(0, r.Load.Running+r.Load.Waiting-t.running-1), now
 	}
 	if e, known := r.evidence(s.usual(g.job.Route.Name)); known {
-		t.belief.Observe(now, e)
+		t.observe(now, e)
 		t.saw(e)
 	}
 	t.told.dirty = true
--- a/schedule/sighting.go
+++ b/schedule/sighting.go
@@ -54,6 +54,14 @@
 	t.told.evidence = append(t.told.evidence, e)
 }
 
+// observe takes what a request showed that ended now.
+func (t *target) observe(now time.Time, e suspicion.Evidence) {
+	t.belief.Observe(now, e)
+	if e != suspicion.Success {
+		t.failed = now
+	}
+}
+
 // Sightings returns what this daemon saw since the last call.
 func (s *Scheduler) Sightings() []Sighting {
 	var list []Sighting
@@ -113,7 +121,7 @@
 	t.used = now
 	for _, e := range g.Evidence[:min(len(g.Evidence), maxEvidence)] {
 		if e.Valid() {
-			t.belief.Observe(now, e)
+			t.observe(now, e)
 		}
 	}
 }
--- a/schedule/spread.go
+++ b/schedule/spread.go
@@ -9,6 +9,10 @@
 	// spreadWindow is the time within which the targets that must get work get
 	// some: under the two seconds that platforms judge by.
 	spreadWindow = 1800 * time.Millisecond
+	// failedWindow is how long a target counts as one with work after it failed
+	// some: platforms hold one that fails for broken during two seconds, and only
+	// then look for work on it during the next two.
+	failedWindow = 2*time.Second + spreadWindow
 	// spreadMargin is added to the share of the targets that must get work,
 	// since this daemon does not know which of them the platform holds for sound.
 	spreadMargin = 0.05
@@ -68,7 +72,7 @@
 			continue
 		}
 		staying++
-		if now.Sub(t.used) < spreadWindow {
+		if now.Sub(t.used) < spreadWindow || now.Sub(t.failed) < failedWindow {
 			touched++
 			continue
 		}
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -75,6 +75,9 @@
 	// used is when a request was last sent by this daemon or, as far as they
 	// told, by others.
 	used time.Time
+	// failed is when a request was last seen to fail on the target, by this daemon
+	// or by others.
+	failed time.Time
 	// listed is when the target was first seen.
 	listed time.Time
 }
--- a/settings/changes.go
+++ b/settings/changes.go
@@ -21,6 +21,7 @@
 		{"Listen.Peers", old.Peers == next.Peers},
 		{"Listen.Operator", old.Operator == next.Operator},
 		{"Directory", old.Directory == next.Directory},
+		{"Advertise", old.Advertised == next.Advertised},
 		{"Platform.Addresses", slices.Equal(old.Platform, next.Platform)},
 		{"Store.Address", old.Store.Address == next.Store.Address},
 		{"Limits", old.Limits == next.Limits},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -24,6 +24,9 @@
 	Callers  id.Address
 	Peers    id.Address
 	Operator id.Address
+	// Advertised is what others are told to use in place of Callers and Peers. The
+	// two differ where a port is mapped on the way.
+	Advertised Advertised
 	// Platform has at least one address of the service that publishes in the
 	// project's own format; empty where Store is set.
 	Platform []id.Address
@@ -38,6 +41,11 @@
 	Timing Timing
 }
 
+// Advertised is the addresses under which others reach a daemon.
+type Advertised struct {
+	Callers, Peers id.Address
+}
+
 // Store is the store of the users' platform.
 type Store struct {
 	Address id.Address
@@ -129,6 +137,8 @@
 	refuseSame(listen, "Peers", d.Peers, "Callers", d.Callers)
 	refuseSame(listen, "Operator", d.Operator, "Callers", d.Callers)
 	refuseSame(listen, "Operator", d.Operator, "Peers", d.Peers)
+	advertise := f.Optional("Advertise")
+	d.Advertised = Advertised{Callers: addressOr(advertise, "Callers", d.Callers), Peers: addressOr(advertise, "Peers", d.Peers)}
 	if peers := f.Optional("Peers"); peers.Has("Seeds") && peers.TextOr("Seeds", "") != "" {
 		d.Seeds = peers.Addresses("Seeds")
 	}
@@ -142,6 +152,13 @@
 	d.Directory = Directory{Resolve: directory.Address("Resolve"), Ready: directory.Address("Ready")}
 }
 
+func addressOr(s *inifile.Section, key string, fallback id.Address) id.Address {
+	if !s.Has(key) {
+		return fallback
+	}
+	return s.Address(key)
+}
+
 const (
 	thousandths = 1000
 	maxCores    = 1024
