Do not quarantine a request that ran to its end lately

Ruled out: a longer list of targets (resets hit many at once); asking the target whether it still lives (it may be back within seconds). Change: what ran to its end within two minutes crashes nothing; a success ends a quarantine that began meanwhile; peers do not bring it back. Only an answer of success clears: a sick target's quick 500 says nothing about a crash.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -137,7 +137,18 @@
 	if d.quarantined(req.Fingerprint()) {
 		return work.Refuse(outcome.NotRun, http.StatusServiceUnavailable, work.Quarantined)
 	}
-	return d.service(m.Service).handle(ctx, req, m.Route)
+	answer := d.service(m.Service).handle(ctx, req, m.Route)
+	if answer.Outcome == outcome.Ran && answer.Status < http.StatusInternalServerError {
+		d.cleared(req.Fingerprint())
+	}
+	return answer
+}
+
+// cleared records that a request ran to its end.
+func (d *Dispatcher) cleared(f work.Fingerprint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.known.Cleared(time.Now(), f)
 }
 
 // Prepare takes a service up before its first request, so that its targets are
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -5,11 +5,13 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/work"
+	lru "github.com/hashicorp/golang-lru/v2"
 )
 
 // NewsTime is how long the news of a quarantine may take to reach a service's
@@ -27,7 +29,8 @@
 	// crashSpan is the time within which the connections that a target loses
 	// count as one crash.
 	crashSpan = time.Second
-	// maxEntries bounds the fingerprints that are remembered.
+	// maxEntries bounds the fingerprints that are remembered, and those of
+	// requests that ran to their end.
 	maxEntries = 4096
 	// maxCrashes bounds the crashes that wait for an explanation.
 	maxCrashes = 256
@@ -56,10 +59,20 @@
 type Table struct {
 	entries map[work.Fingerprint]*entry
 	crashes []crash
+	// harmless holds when requests last ran to their end. Many callers send the
+	// same request, and where connections to several targets are reset at once,
+	// that is no sign of it.
+	harmless *lru.Cache[work.Fingerprint, time.Time]
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{entries: make(map[work.Fingerprint]*entry)} }
+func New() *Table {
+	harmless, err := lru.New[work.Fingerprint, time.Time](maxEntries)
+	if err != nil {
+		panic(fmt.Sprintf("quarantine: %v", err))
+	}
+	return &Table{entries: make(map[work.Fingerprint]*entry), harmless: harmless}
+}
 
 // Quarantined tells whether the request must not be run.
 func (t *Table) Quarantined(now time.Time, f work.Fingerprint) bool {
@@ -78,7 +91,11 @@
 // Died records that a target's connection ended while it ran the request, and
 // reports whether the request is now quarantined.
 func (t *Table) Died(now time.Time, f work.Fingerprint, target id.Target) bool {
-	t.recordCrash(now, f, target)
+	if t.isHarmless(now, f) {
+		t.recordCrash(now, target)
+		return false
+	}
+	t.recordCrash(now, target, f)
 	e := t.entries[f]
 	if e == nil {
 		t.makeRoom()
@@ -97,18 +114,25 @@
 	return true
 }
 
-func (t *Table) recordCrash(now time.Time, f work.Fingerprint, target id.Target) {
+// isHarmless tells whether the request ran to its end lately.
+func (t *Table) isHarmless(now time.Time, f work.Fingerprint) bool {
+	at, ok := t.harmless.Peek(f)
+	return ok && now.Sub(at) < suspicion
+}
+
+// recordCrash notes that a target lost a connection while the suspects ran there.
+func (t *Table) recordCrash(now time.Time, target id.Target, suspects ...work.Fingerprint) {
 	for i := range t.crashes {
 		c := &t.crashes[i]
 		if c.target == target && now.Sub(c.at) < crashSpan {
-			c.suspects = append(c.suspects, f)
+			c.suspects = append(c.suspects, suspects...)
 			return
 		}
 	}
 	if len(t.crashes) >= maxCrashes {
 		t.crashes = t.crashes[1:]
 	}
-	t.crashes = append(t.crashes, crash{target: target, at: now, suspects: []work.Fingerprint{f}})
+	t.crashes = append(t.crashes, crash{target: target, at: now, suspects: suspects})
 }
 
 // forgive drops the crashes that the request explains.
@@ -117,10 +141,11 @@
 }
 
 // Cleared records that the request ran to its end, so it does not crash
-// targets.
-func (t *Table) Cleared(f work.Fingerprint) {
-	e := t.entries[f]
-	if e == nil || !e.until.IsZero() {
+// targets. That ends a quarantine too: another one of its kind still ran when it
+// began.
+func (t *Table) Cleared(now time.Time, f work.Fingerprint) {
+	t.harmless.Add(f, now)
+	if t.entries[f] == nil {
 		return
 	}
 	delete(t.entries, f)
@@ -197,6 +222,9 @@
 // Learn takes a peer's notices.
 func (t *Table) Learn(now time.Time, notices []Notice) {
 	for _, n := range notices {
+		if t.isHarmless(now, n.Fingerprint) {
+			continue
+		}
 		left := min(n.Left, hold)
 		e := t.entries[n.Fingerprint]
 		if e == nil {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -31,7 +31,7 @@
 	case "died":
 		return fmt.Sprint(s.table.Died(now, fingerprint(w[1]), id.Target(w[2])))
 	case "cleared":
-		s.table.Cleared(fingerprint(w[1]))
+		s.table.Cleared(now, fingerprint(w[1]))
 		return ""
 	case "quarantined":
 		return fmt.Sprint(s.table.Quarantined(now, fingerprint(w[1])))
@@ -47,6 +47,9 @@
 		return fmt.Sprintf("%+v", s.table.State())
 	case "state":
 		return fmt.Sprintf("%+v", s.table.State())
+	case "learn":
+		s.table.Learn(now, []Notice{{Fingerprint: fingerprint(w[1]), Left: hold}})
+		return ""
 	case "pass":
 		other := New()
 		other.Learn(now, s.table.Notices(now, 8))
--- a/schedule/result.go
+++ b/schedule/result.go
@@ -135,8 +135,8 @@
 		sample.Censored = true
 	case outcome.Answered:
 		t.reached()
-		s.suspects.Cleared(job.Fingerprint)
 		if !r.Wrong {
+			s.suspects.Cleared(now, job.Fingerprint)
 			s.estimate(job.Route.Name).add(r.Elapsed)
 		}
 		sample.Wrong = r.Wrong
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -29,15 +29,15 @@
 
 const (
 	// maxFaults is how many faults a round has at most.
-	maxFaults = 4
+	maxFaults = 8
 	// faultSpan is the longest time of one fault, faultGap the longest one until
 	// it starts.
 	faultSpan = 4 * time.Second
 	faultGap  = 2 * time.Second
 	// calmTime is how long callers are watched after the effects of a round.
-	calmTime = 3 * time.Second
+	calmTime = 6 * time.Second
 	// planned is how many pieces of planned work a calm time has.
-	planned = 2
+	planned = 3
 )
 
 func (p *plan) run() {
@@ -110,7 +110,7 @@
 	s := p.soak
 	d := s.daemons[s.random.IntN(len(s.daemons))]
 	t := s.targets[s.random.IntN(len(s.targets))]
-	switch s.random.IntN(9) {
+	switch s.random.IntN(10) {
 	case 0:
 		return &fault{name: "kill of " + string(d.name), begin: d.kill, end: func() { p.check(d.start()) }}
 	case 1:
@@ -127,11 +127,35 @@
 		return p.trouble("target "+string(t.entry.ID), t.proxy)
 	case 7:
 		return p.sick(t)
+	case 8:
+		return p.resets()
 	default:
 		return p.massKill()
 	}
 }
 
+// resets resets some of the open connections of every process.
+func (p *plan) resets() *fault {
+	s := p.soak
+	share, random := p.soak.random.Float64(), rand.New(rand.NewPCG(p.soak.random.Uint64(), 1))
+	list := []*proxy{s.storeProxy}
+	for _, d := range s.daemons {
+		list = append(list, d.callers, d.peers)
+	}
+	for _, t := range s.targets {
+		list = append(list, t.proxy)
+	}
+	return &fault{
+		name: fmt.Sprintf("reset of %.0f%% of all connections", 100*share),
+		begin: func() {
+			for _, x := range list {
+				x.reset(random, share)
+			}
+		},
+		end: func() {},
+	}
+}
+
 // pause stops a daemon's process and lets it go on.
 func (p *plan) pause(d *daemon) *fault {
 	r := d.current()
