Spread a service's work while other parts of its routes fail

Change: what becomes of a request counts at each part of its route. Test: dispatch script divided, red before (next went to t2, not to the target in doubt).

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -48,7 +49,7 @@
 // newDeliveryScript returns a dispatcher of one service with routes that are
 // idempotent and not.
 func newDeliveryScript() *deliveryScript {
-	s := &deliveryScript{started: time.Now(), steps: make(map[string][]string)}
+	s := &deliveryScript{started: time.Now(), steps: make(map[string][]string), take: make(map[id.Service]func([]schedule.Endpoint))}
 	s.policy = &configuration.Service{
 		Name: "beds", Slots: 2, Floor: 1, LongShare: 1, Queue: 10, Attempts: 1, RetryShare: 0.2, RetryBurst: 6,
 		Connections: 10, Avoidance: 8, Hedge: 2.5,
@@ -58,7 +59,9 @@
 			LoadHeader: "X-Load", RetryFailures: true, Promises: []int{http.StatusServiceUnavailable},
 		},
 	}
-	s.snapshot = &configuration.Snapshot{Services: map[id.Service]*configuration.Service{"beds": s.policy}}
+	other := *s.policy
+	other.Name = "halls"
+	s.snapshot = &configuration.Snapshot{Services: map[id.Service]*configuration.Service{"beds": s.policy, "halls": &other}}
 	s.dispatcher = New(Config{
 		Log: zerolog.Nop(), Scope: tally.NoopScope, Memory: memory.New(unit.MiB), AnswerBuffer: 100, Dial: s.dial, Seed: 1,
 	})
@@ -70,6 +73,7 @@
 	}
 	s.dispatcher.Accompany(Company{Serving: true})
 	s.dispatcher.Prepare(s.policy)
+	s.dispatcher.Prepare(&other)
 	return s
 }
 
@@ -77,10 +81,11 @@
 	dispatcher *Dispatcher
 	policy     *configuration.Service
 	snapshot   *configuration.Snapshot
-	take       func([]schedule.Endpoint)
-	started    time.Time
-	answers    conc.WaitGroup
-	stopping   flag
+	// take has an entry for each service.
+	take     map[id.Service]func([]schedule.Endpoint)
+	started  time.Time
+	answers  conc.WaitGroup
+	stopping flag
 
 	mu sync.Mutex
 	// steps holds what each target does with the next requests.
@@ -105,12 +110,13 @@
 func (s *deliveryScript) State() any                                  { return nil }
 func (s *deliveryScript) Current() *configuration.Snapshot            { return s.snapshot }
 
-func (s *deliveryScript) WatchTargets(_ context.Context, _ *conc.WaitGroup, _ id.Service, take func([]schedule.Endpoint)) {
-	s.take = take
+func (s *deliveryScript) WatchTargets(_ context.Context, _ *conc.WaitGroup, name id.Service, take func([]schedule.Endpoint)) {
+	s.take[name] = take
 }
 
 // execute takes the commands: targets NAME..., do NAME STEP | STEP, call ID
-// [safe] [in=SPAN] [attempts=N] [stream], wait SPAN, leave ID.
+// [safe] [in=SPAN] [attempts=N] [stream] [divided] [halls], many N NAME [...],
+// halls TARGET, spread, wait SPAN, leave ID.
 func (s *deliveryScript) execute(w []string) string {
 	switch w[0] {
 	case "targets":
@@ -118,7 +124,22 @@
 		for _, name := range w[1:] {
 			list = append(list, schedule.Endpoint{ID: id.Target(name), Address: id.Address(name)})
 		}
-		s.take(list)
+		s.take["beds"](list)
+	case "halls":
+		s.take["halls"]([]schedule.Endpoint{{ID: id.Target(w[1]), Address: id.Address(w[1])}})
+	case "spread":
+		s.policy.Spread = 0.7
+	case "many":
+		// Calls one after the other, of which only the last ones are shown.
+		n, _ := strconv.Atoi(w[1])
+		for i := range n {
+			s.call(fmt.Sprint(w[2], i), w[3:])
+			time.Sleep(20 * time.Millisecond)
+			synctest.Wait()
+		}
+		s.mu.Lock()
+		s.seen = s.seen[max(0, len(s.seen)-2):]
+		s.mu.Unlock()
 	case "do":
 		s.mu.Lock()
 		s.steps[w[1]] = strings.Split(strings.Join(w[2:], " "), " | ")
@@ -144,6 +165,7 @@
 
 func (s *deliveryScript) call(name string, options []string) {
 	route := &configuration.Route{Name: "reserve", Attempts: 2}
+	service := s.policy
 	req := &work.Request{ID: id.Request(name), Method: http.MethodPost, URI: "/" + name, Path: "/" + name, Host: "h", Deadline: time.Now().Add(2 * time.Second)}
 	ctx, cancel := context.WithCancel(context.Background())
 	for _, o := range options {
@@ -156,6 +178,10 @@
 			req.Deadline = time.Now().Add(d)
 		case "attempts":
 			fmt.Sscan(value, &route.Attempts)
+		case "divided":
+			route.Parts = []configuration.Part{{Service: "beds", Weight: 1}, {Service: "halls", Weight: 1}}
+		case "halls":
+			service = s.snapshot.Services["halls"]
 		case "stream":
 			req.Body = work.Body{Rest: strings.NewReader("body"), Size: 4}
 		case "leaves":
@@ -165,7 +191,7 @@
 	}
 	s.answers.Go(func() {
 		defer cancel()
-		a := s.dispatcher.Run(ctx, req, configuration.Match{Service: s.policy, Route: route})
+		a := s.dispatcher.Run(ctx, req, configuration.Match{Service: service, Route: route})
 		s.note(fmt.Sprintf("%s: %d %s %s after %s", name, a.Status, a.Outcome, a.Reason, a.RetryAfter.Truncate(100*time.Millisecond)))
 		a.Close()
 	})
--- a/dispatch/handle.go
+++ b/dispatch/handle.go
@@ -20,10 +20,32 @@
 	if answer.Reason == work.CallerGone {
 		return answer
 	}
+	served := answer.Outcome == outcome.Ran && answer.Status < http.StatusInternalServerError
+	s.noteServed(served)
+	for _, p := range route.Parts {
+		if p.Service != s.name {
+			s.owner.noteServed(p.Service, served)
+		}
+	}
+	return answer
+}
+
+// noteServed notes whether a request of a route to this service was served, by
+// this service or by another part of its route.
+func (s *serviceDispatcher) noteServed(served bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.scheduler.Served(time.Now(), answer.Outcome == outcome.Ran && answer.Status < http.StatusInternalServerError)
-	return answer
+	s.scheduler.Served(time.Now(), served)
+}
+
+// noteServed notes a request for a service that was taken up.
+func (d *Dispatcher) noteServed(name id.Service, served bool) {
+	d.mu.Lock()
+	s := d.services[name]
+	d.mu.Unlock()
+	if s != nil {
+		s.noteServed(served)
+	}
 }
 
 // answerOf returns the failure that a target answered before, if there is one:
--- a/schedule/spread.go
+++ b/schedule/spread.go
@@ -112,7 +112,8 @@
 // SetServers tells how many daemons, with this one, share the service's callers.
 func (s *Scheduler) SetServers(n int) { s.servers = max(1, n) }
 
-// Served records whether a request got an answer of success in the end.
+// Served records whether a request that may go to this service got an answer of
+// success in the end.
 func (s *Scheduler) Served(now time.Time, ok bool) {
 	b := s.served.bucket(now)
 	b.ended++
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -57,17 +57,21 @@
 	return !r.stopping.IsZero() && c.since(r.stopping.Add(-settle))
 }
 
-// start starts the process. Its end is awaited by a task of the soak.
+// start starts the process, unless one runs. Its end is awaited by a task of the
+// soak.
 func (d *daemon) start() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.run != nil {
+		return nil
+	}
 	process := exec.Command(d.soak.cfg.Program, "serve", "--settings", d.settings)
 	process.Stdout, process.Stderr = d.log, d.log
 	if err := process.Start(); err != nil {
 		return fmt.Errorf("soak: daemon %s: %w", d.name, err)
 	}
 	r := &daemonRun{daemon: d, process: process, ended: make(chan struct{})}
-	d.mu.Lock()
 	d.run = r
-	d.mu.Unlock()
 	d.soak.group.Go(r.loop)
 	return nil
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -75,9 +75,7 @@
 	}
 	group.Wait()
 	for _, d := range s.daemons {
-		if d.current() == nil {
-			p.check(d.start())
-		}
+		p.check(d.start())
 	}
 	for _, d := range s.daemons {
 		if !d.awaitReady(s.context) && s.context.Err() == nil {
@@ -229,9 +227,7 @@
 		},
 		end: func() {
 			for _, d := range killed {
-				if d.current() == nil {
-					p.check(d.start())
-				}
+				p.check(d.start())
 			}
 		},
 	}
@@ -267,7 +263,7 @@
 // restart stops a daemon as planned and starts it again.
 func (s *Soak) restart(d *daemon) {
 	d.stop(s.context)
-	if s.context.Err() == nil && d.current() == nil {
+	if s.context.Err() == nil {
 		if err := d.start(); err != nil {
 			s.say("%v", err)
 		}
