--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -32,6 +32,8 @@
 	mu sync.Mutex
 	// run is the process that runs now; nil while there is none.
 	run *daemonRun
+	// closed tells that no process may be started any more.
+	closed bool
 }
 
 // daemonRun is one run of a daemon's process.
@@ -57,12 +59,12 @@
 	return !r.stopping.IsZero() && c.since(r.stopping.Add(-settle))
 }
 
-// start starts the process, unless one runs. Its end is awaited by a task of the
-// soak.
+// start starts the process, unless one runs or the soak ends. Its end is awaited
+// by a task of the soak.
 func (d *daemon) start() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.run != nil {
+	if d.run != nil || d.closed {
 		return nil
 	}
 	process := exec.Command(d.soak.cfg.Program, "serve", "--settings", d.settings)
@@ -136,6 +138,17 @@
 	}
 }
 
+// close ends the process and what stands before it.
+func (d *daemon) close() {
+	d.mu.Lock()
+	d.closed = true
+	d.mu.Unlock()
+	d.kill()
+	d.callers.close()
+	d.peers.close()
+	d.log.Close()
+}
+
 // kill ends the process without notice.
 func (d *daemon) kill() {
 	if r := d.current(); r != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -209,10 +209,7 @@
 func (s *Soak) end() {
 	s.cancel()
 	for _, d := range s.daemons {
-		d.kill()
-		d.callers.close()
-		d.peers.close()
-		d.log.Close()
+		d.close()
 	}
 	for _, t := range s.targets {
 		t.end()
