--- a/dispatch/log.go
+++ b/dispatch/log.go
@@ -23,6 +23,7 @@
 		Str("Address", string(x.endpoint.Address)).
 		Int("Targets", in.Targets).
 		Int("Eligible", in.Eligible).
+		Str("Chosen", string(in.Chosen)).
 		Int("Running", in.Running).
 		Float64("Load", in.Load).
 		Float64("Sick", in.Sick).
--- a/registry/choice.go
+++ b/registry/choice.go
@@ -27,6 +27,11 @@
 	// feedPatience is how long one that found peers waits for their copy. Small
 	// hosts start slowly, and a fleet that starts at once must not read as one.
 	feedPatience = 1500 * time.Millisecond
+	// needDelay is the longest pause between two calls that fail of a daemon that
+	// reads in need: those it follows try more often and tell what they get, and
+	// it only looks whether the platform turns away them alone. An outage must not
+	// bring the calls of the whole fleet upon the platform.
+	needDelay = 2400 * time.Millisecond
 	// badTime is how long a reader that failed is not followed.
 	badTime = time.Second
 	// calmTime is how long others must have been good before a daemon that reads
@@ -59,8 +64,9 @@
 	// peersGood is since when the copy is fresh by peers alone; zero while it is
 	// not.
 	peersGood time.Time
-	// inNeed tells that this daemon reads because its copy grew old.
-	inNeed bool
+	// inNeed tells that this daemon reads because its copy grew old, ranked that
+	// it is one of the few that always read.
+	inNeed, ranked bool
 }
 
 func newChooser(self Reader, seed bool, now time.Time) *chooser {
@@ -88,7 +94,8 @@
 // be by peers alone; both are negative where there is none.
 func (c *chooser) choose(now time.Time, fleet []Reader, age, peerAge time.Duration) Sources {
 	readers := fleet[:min(readersOf(len(fleet)), len(fleet))]
-	s := Sources{Platform: slices.Contains(readers, c.self)}
+	c.ranked = slices.Contains(readers, c.self)
+	s := Sources{Platform: c.ranked}
 	if len(fleet) <= 1 && !c.seed && now.Sub(c.started) < startPatience {
 		s.Platform = false
 	}
@@ -118,6 +125,15 @@
 	}
 }
 
+// longestDelay returns the longest pause between two calls to the platform that
+// fail, for a daemon that follows so many others.
+func (c *chooser) longestDelay(followed int) time.Duration {
+	if c.inNeed && !c.ranked && followed > 0 {
+		return needDelay
+	}
+	return maxDelay
+}
+
 // follow returns the readers to follow: those that did not fail, of the own
 // failure domain first, then as the daemon's own rank has it, so that the
 // followers spread.
--- a/registry/reader.go
+++ b/registry/reader.go
@@ -47,10 +47,18 @@
 			continue
 		}
 		clock.Sleep(x.ctx, delay/2+rand.N(delay/2))
-		delay = min(2*delay, maxDelay)
+		delay = min(2*delay, x.longestDelay())
 	}
 }
 
+// longestDelay returns the longest pause between two calls that fail.
+func (x *reader) longestDelay() time.Duration {
+	r := x.registry
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.chooser.longestDelay(len(r.followers))
+}
+
 // step makes one call, takes its result, and tells whether it succeeded.
 func (x *reader) step() bool {
 	r := x.registry
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -142,6 +142,9 @@
 		s.chooser.failed(now, id.Host(w[1]))
 	case "wait":
 		s.clock.Wait(w[1])
+	case "delay":
+		n, _ := strconv.Atoi(w[1])
+		return s.chooser.longestDelay(n).String()
 	}
 	c := s.chooser.choose(s.clock.Now(), s.fleet, s.age, s.peerAge)
 	return fmt.Sprintf("platform %t, peers %v", c.Platform, c.Peers)
--- a/schedule/choice.go
+++ b/schedule/choice.go
@@ -22,7 +22,7 @@
 
 // nextGrant returns the waiting job that runs next and its target. Short work
 // goes first, but long work keeps half of its share of the slots.
-func (s *Scheduler) nextGrant(now time.Time) (Job, *target) {
+func (s *Scheduler) nextGrant(now time.Time) (Job, *target, Choice) {
 	short, haveShort := s.queue.best(false)
 	long, haveLong := s.queue.best(true)
 	longFirst := haveLong && s.runningLong() < (s.longLimit(now)+1)/2 &&
@@ -36,16 +36,17 @@
 		if !have[i] {
 			continue
 		}
-		if t := s.pick(now, job); t != nil {
-			return job, t
+		if t, why := s.pick(now, job); t != nil {
+			return job, t, why
 		}
 	}
-	return Job{}, nil
+	return Job{}, nil, ""
 }
 
-func (s *Scheduler) grant(now time.Time, job Job, t *target) Decision {
+func (s *Scheduler) grant(now time.Time, job Job, t *target, why Choice) Decision {
 	beyond := t.running >= int(s.slots(t.endpoint))
 	inputs := s.inputs(now, t, job)
+	inputs.Chosen = why
 	g := &grant{job: job, target: t, since: now, suspect: s.suspects.Suspect(job.Fingerprint), beyond: beyond, pending: beyond}
 	t.running++
 	t.told.dirty = true
@@ -77,18 +78,24 @@
 	return 0
 }
 
-// pick chooses the target for a job, or nil where none has a free slot.
-func (s *Scheduler) pick(now time.Time, job Job) *target {
+// pick chooses the target for a job and says why, or nil where none has a free
+// slot.
+func (s *Scheduler) pick(now time.Time, job Job) (*target, Choice) {
 	if job.Route.Long && s.runningLong() >= s.longLimit(now) {
-		return nil
+		return nil, ""
 	}
 	suspect := s.suspects.Suspect(job.Fingerprint)
 	if t := s.newcomer(now, job, suspect); t != nil {
-		return t
+		return t, ByNewcomer
 	}
 	if t := s.spread(now, job, suspect); t != nil {
-		return t
+		return t, BySpread
 	}
+	return s.cheapest(now, job, suspect), ByRank
+}
+
+// cheapest returns the eligible target of the least cost, or nil.
+func (s *Scheduler) cheapest(now time.Time, job Job, suspect bool) *target {
 	var best *target
 	bestCost, ties := 0.0, 0
 	for _, t := range s.targets {
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -68,8 +68,23 @@
 	// outcome is that it rests on; negative where there was none.
 	Sick float64
 	Age  time.Duration
+	// Chosen is why this target was chosen.
+	Chosen Choice
 }
 
+// Choice says why a target was chosen.
+type Choice string
+
+// The choices.
+const (
+	// ByRank is the target of the least cost.
+	ByRank Choice = "rank"
+	// ByNewcomer is a target that never had work.
+	ByNewcomer Choice = "newcomer"
+	// BySpread is a target that work must reach, whatever is believed of it.
+	BySpread Choice = "spread"
+)
+
 // Event is a decision about a job that was waiting.
 type Event struct {
 	Ticket   Ticket
@@ -227,8 +242,8 @@
 		return d
 	}
 	if !s.queue.hasAhead(job) {
-		if t := s.pick(now, job); t != nil {
-			return s.grant(now, job, t)
+		if t, why := s.pick(now, job); t != nil {
+			return s.grant(now, job, t, why)
 		}
 	}
 	if len(s.targets) == 0 {
@@ -305,12 +320,12 @@
 		events = append(events, Event{job.Ticket, s.refuse(work.DeadlineTooNear, s.retryAfter(now))})
 	}
 	for {
-		job, t := s.nextGrant(now)
+		job, t, why := s.nextGrant(now)
 		if t == nil {
 			return events
 		}
 		s.queue.remove(job.Ticket)
-		events = append(events, Event{job.Ticket, s.grant(now, job, t)})
+		events = append(events, Event{job.Ticket, s.grant(now, job, t, why)})
 	}
 }
 
