--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -177,9 +177,11 @@
 // newTarget returns a target that warms up, but for those of the first list:
 // a daemon that starts must not take the whole service for cold.
 func (s *Scheduler) newTarget(now time.Time, e Endpoint, first bool) *target {
-	t := &target{limit: float64(s.slots(e)), warmSince: now, listed: now}
+	t := &target{limit: float64(s.slots(e)), warmSince: now}
 	if first {
 		t.warmSince = now.Add(-s.policy.Warmup)
+	} else {
+		t.joined = now
 	}
 	return t
 }
--- a/schedule/spread.go
+++ b/schedule/spread.go
@@ -36,9 +36,11 @@
 	newIdleAny = 2 * time.Second
 )
 
-// newcomer returns a target that never had work and gets this job, or nil.
-// Ranks alone would keep work with the targets that are known for long, and
-// those that joined to help would stand idle.
+// newcomer returns a target that joined, never had work, and gets this job, or
+// nil. Ranks alone would keep work with the targets that are known for long, and
+// those that joined to help would stand idle. Those of the first list are left to
+// their ranks: a third of them may be sick, and a daemon that starts would send
+// its first requests to one after the other.
 func (s *Scheduler) newcomer(now time.Time, job Job, suspect bool) *target {
 	idle := newIdleAny
 	if job.Route.Idempotent {
@@ -48,7 +50,7 @@
 		return nil
 	}
 	for _, t := range s.targets {
-		if t.used.IsZero() && now.Sub(t.listed) >= idle && s.eligible(now, t, job, suspect) {
+		if t.used.IsZero() && !t.joined.IsZero() && now.Sub(t.joined) >= idle && s.eligible(now, t, job, suspect) {
 			return t
 		}
 	}
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -78,8 +78,9 @@
 	// failed is when a request was last seen to fail on the target, by this daemon
 	// or by others.
 	failed time.Time
-	// listed is when the target was first seen.
-	listed time.Time
+	// joined is when the target was first seen, if others were listed before it;
+	// else zero.
+	joined time.Time
 }
 
 const (
