--- a/command/soak.go
+++ b/command/soak.go
@@ -7,6 +7,8 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -18,6 +20,7 @@
 	streams   streams
 	Seed      uint64        `long:"seed" value-name:"N" default:"1" description:"seed of the faults"`
 	Seeds     int           `long:"seeds" value-name:"N" default:"1" description:"how many seeds are played, one after the other"`
+	Cases     string        `long:"cases" value-name:"FILE" description:"plays the seeds of a file instead: a seed and a span a line, and why it is kept"`
 	Span      time.Duration `long:"span" value-name:"SPAN" default:"30s" description:"how long faults are brought about for each seed"`
 	Daemons   int           `long:"daemons" value-name:"N" default:"6" description:"daemon processes"`
 	Targets   int           `long:"targets" value-name:"N" default:"5" description:"targets of each of three services"`
@@ -34,9 +37,13 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	cases, err := c.cases()
+	if err != nil {
+		return invalid(err)
+	}
 	broken := 0
-	for n := range c.Seeds {
-		ok, err := c.play(ctx, program, c.Seed+uint64(n))
+	for _, one := range cases {
+		ok, err := c.play(ctx, program, one)
 		if err != nil {
 			return err
 		}
@@ -45,14 +52,64 @@
 		}
 	}
 	if broken > 0 {
-		return coded{fmt.Errorf("promises broke with %d of %d seeds", broken, c.Seeds), exitBroken}
+		return coded{fmt.Errorf("promises broke with %d of %d seeds", broken, len(cases)), exitBroken}
 	}
 	return nil
 }
 
+// soakCase is a seed with the span that it is played for.
+type soakCase struct {
+	seed uint64
+	span time.Duration
+}
+
+// cases returns what is to be played.
+func (c *soakFleet) cases() ([]soakCase, error) {
+	var list []soakCase
+	if c.Cases == "" {
+		for n := range c.Seeds {
+			list = append(list, soakCase{c.Seed + uint64(n), c.Span})
+		}
+		return list, nil
+	}
+	data, err := os.ReadFile(c.Cases)
+	if err != nil {
+		return nil, err
+	}
+	for n, line := range strings.Split(string(data), "\n") {
+		words := strings.Fields(line)
+		if len(words) == 0 || strings.HasPrefix(words[0], "#") {
+			continue
+		}
+		one, err := parseCase(words)
+		if err != nil {
+			return nil, fmt.Errorf("%s:%d: %w", c.Cases, n+1, err)
+		}
+		list = append(list, one)
+	}
+	return list, nil
+}
+
+// parseCase reads a seed, a span, and the reason, of which nothing is kept.
+func parseCase(words []string) (soakCase, error) {
+	const accepted = "accepted: a seed, a span such as 10s, and why the seed is kept"
+	if len(words) < 3 {
+		return soakCase{}, errors.New(accepted)
+	}
+	seed, err := strconv.ParseUint(words[0], 10, 64)
+	if err != nil {
+		return soakCase{}, fmt.Errorf("seed %q; %s", words[0], accepted)
+	}
+	span, err := time.ParseDuration(words[1])
+	if err != nil || span <= 0 {
+		return soakCase{}, fmt.Errorf("span %q; %s", words[1], accepted)
+	}
+	return soakCase{seed, span}, nil
+}
+
 // play plays one seed, and tells whether every promise was kept.
-func (c *soakFleet) play(ctx context.Context, program string, seed uint64) (bool, error) {
-	dir := c.Directory
+func (c *soakFleet) play(ctx context.Context, program string, one soakCase) (bool, error) {
+	seed, dir := one.seed, c.Directory
 	var err error
 	if dir == "" {
 		if dir, err = os.MkdirTemp("", "soak"); err != nil {
@@ -67,7 +124,7 @@
 	}
 	defer out.Close()
 	report, err := soak.New(soak.Config{
-		Program: program, Directory: dir, Seed: seed, Span: c.Span, Daemons: c.Daemons, Targets: c.Targets, Callers: c.Callers, Pause: c.Pause, Out: out,
+		Program: program, Directory: dir, Seed: seed, Span: one.span, Daemons: c.Daemons, Targets: c.Targets, Callers: c.Callers, Pause: c.Pause, Out: out,
 	}).Run(ctx)
 	if err != nil {
 		return false, errors.Join(err, fmt.Errorf("logs are in %s", dir))
