--- a/schedule/result.go
+++ b/schedule/result.go
@@ -95,6 +95,8 @@
 		}
 	case outcome.NotWritten, outcome.BodyFailed, outcome.Cancelled:
 		return 0, false
+	case outcome.Declined:
+		return suspicion.Declined, true
 	case outcome.DialFailed:
 		fast = true
 	}
--- a/schedule/sighting.go
+++ b/schedule/sighting.go
@@ -57,7 +57,7 @@
 // observe takes what a request showed that ended now.
 func (t *target) observe(now time.Time, e suspicion.Evidence) {
 	t.belief.Observe(now, e)
-	if e != suspicion.Success {
+	if e != suspicion.Success && e != suspicion.Declined {
 		t.failed = now
 	}
 }
--- a/schedule/spread.go
+++ b/schedule/spread.go
@@ -10,9 +10,9 @@
 	// some: under the two seconds that platforms judge by.
 	spreadWindow = 1800 * time.Millisecond
 	// failedWindow is how long a target counts as one with work after it failed
-	// some: platforms hold one that fails for broken during two seconds, and only
-	// then look for work on it during the next two.
-	failedWindow = 2*time.Second + spreadWindow
+	// some. Platforms hold one that fails for broken during two seconds; beyond
+	// that, the part of the targets that may go without work allows for a little.
+	failedWindow = 2400 * time.Millisecond
 	// spreadMargin is added to the share of the targets that must get work,
 	// since this daemon does not know which of them the platform holds for sound.
 	spreadMargin = 0.05
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -75,8 +75,8 @@
 	// used is when a request was last sent by this daemon or, as far as they
 	// told, by others.
 	used time.Time
-	// failed is when a request was last seen to fail on the target, by this daemon
-	// or by others.
+	// failed is when a request was last seen to fail on the target rather than to
+	// be declined, by this daemon or by others.
 	failed time.Time
 	// joined is when the target was first seen, if others were listed before it;
 	// else zero.
--- a/suspicion/suspicion.go
+++ b/suspicion/suspicion.go
@@ -22,6 +22,8 @@
 	// FastFailure is a failure long before work could have been done: the mark
 	// of a target that fails whatever it is asked.
 	FastFailure
+	// Declined is a refusal that proves that the request did not run.
+	Declined
 	// kinds is the number of kinds.
 	kinds
 )
@@ -40,6 +42,7 @@
 	Success:     {sick: 0.15, well: 0.985},
 	Failure:     {sick: 0.15, well: 0.013},
 	FastFailure: {sick: 0.70, well: 0.001},
+	Declined:    {sick: 0.70, well: 0.001},
 }
 
 const (
--- a/suspicion/suspicion_test.go
+++ b/suspicion/suspicion_test.go
@@ -8,7 +8,7 @@
 	"github.com/briarrouter/briarrouter/scripttest"
 )
 
-var names = map[string]Evidence{"ok": Success, "failure": Failure, "fast": FastFailure}
+var names = map[string]Evidence{"ok": Success, "failure": Failure, "fast": FastFailure, "declined": Declined}
 
 // TestScripts shows what is believed of a target after what its requests showed.
 func TestScripts(t *testing.T) {
