--- /dev/null
+++ b/schedule/spread_test.go
@@ -0,0 +1,57 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/id"
+	"github.com/briarrouter/briarrouter/outcome"
+	"github.com/briarrouter/briarrouter/quarantine"
+	"github.com/sebdah/goldie/v2"
+)
+
+// TestReached shows which of four targets work must reach, some time after one of
+// them answered, one failed, one declined and one was told to have failed, while
+// a fifth of the requests go unserved.
+func TestReached(t *testing.T) {
+	var b strings.Builder
+	for _, after := range []time.Duration{time.Second, 1900 * time.Millisecond, 2300 * time.Millisecond, 2500 * time.Millisecond} {
+		now := time.Unix(1000, 0)
+		s := New(&configuration.Service{Name: "beds", Slots: 2, Floor: 1, LongShare: 1, Queue: 10, Avoidance: 8, Spread: 0.7},
+			quarantine.New(), rand.New(rand.NewPCG(1, 1)))
+		var list []Endpoint
+		for _, name := range []string{"answers", "declines", "fails", "told"} {
+			list = append(list, Endpoint{ID: id.Target(name), Address: id.Address(name)})
+		}
+		s.SetTargets(now, list)
+		route := &configuration.Route{Name: "work"}
+		for i, r := range []Result{{Ending: outcome.Answered}, {Ending: outcome.Declined}, {Ending: outcome.Answered, Wrong: true}} {
+			job := Job{Ticket: Ticket(i), Route: route, Deadline: now.Add(time.Minute)}
+			s.grant(now, job, s.targets[i], ByRank)
+			s.Finish(now, job.Ticket, r)
+		}
+		evidence, _ := Result{Ending: outcome.Answered, Wrong: true}.evidence(0)
+		s.targets[3].observe(now, evidence)
+		s.targets[3].used = now
+		now = now.Add(after)
+		for i := range 40 {
+			s.served.arrived(now, Job{Route: route})
+			s.Served(now, i%5 > 0)
+		}
+		var reached []string
+		for {
+			target := s.spread(now, Job{Route: route, Deadline: now.Add(time.Minute)}, false)
+			if target == nil {
+				break
+			}
+			reached = append(reached, string(target.endpoint.ID))
+			target.used = now
+		}
+		fmt.Fprintf(&b, "%s later: %v\n", after, reached)
+	}
+	goldie.New(t).Assert(t, "reached", []byte(b.String()))
+}
