--- a/soak/calm.go
+++ b/soak/calm.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"strings"
 	"sync"
 	"time"
 )
@@ -37,6 +36,3 @@
 	defer c.mu.Unlock()
 	return c.running == 0 && c.ended.Before(t) && time.Since(c.ended) > settle
 }
-
-// cutWord returns the first word of a text and the rest.
-func cutWord(text string) (word, rest string, found bool) { return strings.Cut(text, " ") }
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -100,8 +100,12 @@
 	return d.run
 }
 
-// signal sends a signal to the process that this soak started, if it runs.
+// signal sends a signal to the process that this soak started, if it runs. There
+// may be no run.
 func (r *daemonRun) signal(s os.Signal) {
+	if r == nil {
+		return
+	}
 	if err := r.process.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		r.daemon.soak.say("signal %v to %s: %v", s, r.daemon.name, err)
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -159,15 +159,8 @@
 	r := d.current()
 	return &fault{
 		name:  "pause of " + string(d.name),
-		begin: func() { r.signalIf(syscall.SIGSTOP) },
-		end:   func() { r.signalIf(syscall.SIGCONT) },
-	}
-}
-
-// signalIf sends a signal where there is a run.
-func (r *daemonRun) signalIf(s syscall.Signal) {
-	if r != nil {
-		r.signal(s)
+		begin: func() { r.signal(syscall.SIGSTOP) },
+		end:   func() { r.signal(syscall.SIGCONT) },
 	}
 }
 
@@ -241,11 +234,12 @@
 	switch s.random.IntN(6) {
 	case 0:
 		s.say("planned stop of %s", d.name)
-		s.group.Go(func() { s.restart(d) })
+		r := &restart{daemon: d}
+		s.group.Go(r.run)
 	case 1:
 		s.say("other settings for %s", d.name)
 		p.check(d.write(s.seeds(), d.callers.to, d.peers.to, s.random.IntN(100)))
-		d.current().signalIf(syscall.SIGHUP)
+		d.current().signal(syscall.SIGHUP)
 	case 2:
 		s.say("target %s leaves", s.targets[n].entry.ID)
 		p.check(s.replace(n))
@@ -261,11 +255,15 @@
 }
 
 // restart stops a daemon as planned and starts it again.
-func (s *Soak) restart(d *daemon) {
-	d.stop(s.context)
-	if s.context.Err() == nil {
-		if err := d.start(); err != nil {
-			s.say("%v", err)
-		}
+type restart struct{ daemon *daemon }
+
+func (r *restart) run() {
+	s := r.daemon.soak
+	r.daemon.stop(s.context)
+	if s.context.Err() != nil {
+		return
+	}
+	if err := r.daemon.start(); err != nil {
+		s.say("%v", err)
 	}
 }
--- a/soak/promises.go
+++ b/soak/promises.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -74,8 +75,9 @@
 	asked    map[id.Request]*asked
 	breaches []Breach
 	counts   Counts
-	// late counts what was sent in calm times, and served of it.
-	late, lateServed int
+	// calmSent counts what was sent in calm times, and calmServed what was served
+	// of it.
+	calmSent, calmServed int
 	// moves holds since when each service has the moving route.
 	moves []move
 	// leaving holds since when targets leave.
@@ -179,9 +181,9 @@
 	a := p.asked[call.Request]
 	served := err == nil && reply.Status == 200
 	if p.calm.since(a.sent.Add(-settle)) {
-		p.late++
+		p.calmSent++
 		if served {
-			p.lateServed++
+			p.calmServed++
 		}
 	}
 	switch {
@@ -206,7 +208,7 @@
 
 // checkAnswer checks an answer of success. The lock is held.
 func (p *promises) checkAnswer(call platformtest.Call, reply platformtest.Reply, a *asked) {
-	target, _, _ := cutWord(reply.Body)
+	target, _, _ := strings.Cut(reply.Body, " ")
 	want := platformtest.Answer(id.Target(target), call.Request, call.Path, call.Body)
 	if reply.Body != want || reply.Signature != platformtest.Sign(want) || reply.Attempt != call.Request || a.runs == 0 {
 		p.broke(OwnAnswer, "request %s got %q, signed %q, for %q, after %d runs", call.Request, reply.Body, reply.Signature, reply.Attempt, a.runs)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 
@@ -120,11 +122,11 @@
 	p := s.promises
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if float64(p.lateServed) < calmShare*float64(p.late) {
-		p.broke(Served, "of %d requests in calm times %d were served", p.late, p.lateServed)
+	if float64(p.calmServed) < calmShare*float64(p.calmSent) {
+		p.broke(Served, "of %d requests in calm times %d were served", p.calmSent, p.calmServed)
 	}
 	return Report{
-		Breaches: p.breaches, Counts: p.counts, Calm: p.late, CalmServed: p.lateServed, Faults: faults, StoreCalls: s.store.Calls(),
+		Breaches: p.breaches, Counts: p.counts, Calm: p.calmSent, CalmServed: p.calmServed, Faults: faults, StoreCalls: s.store.Calls(),
 	}
 }
 
@@ -134,12 +136,9 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: s.store.Handler(), ReadHeaderTimeout: dialTime}
-	s.group.Go(func() {
-		// The error tells that the server was closed.
-		_ = server.Serve(listener)
-	})
-	context.AfterFunc(s.context, func() { server.Close() })
+	front := &storeFront{listener: listener, server: &http.Server{Handler: s.store.Handler(), ReadHeaderTimeout: dialTime}}
+	s.group.Go(front.run)
+	context.AfterFunc(s.context, func() { front.server.Close() })
 	if s.storeProxy, err = newProxy(id.Address(listener.Addr().String())); err != nil {
 		return err
 	}
@@ -170,6 +169,18 @@
 	return nil
 }
 
+// storeFront is where the store listens.
+type storeFront struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+func (f *storeFront) run() {
+	if err := f.server.Serve(f.listener); !errors.Is(err, http.ErrServerClosed) {
+		panic(fmt.Sprintf("soak: store: %v", err))
+	}
+}
+
 // maxSeeds is how many daemons are named to the others.
 const maxSeeds = 3
 
--- a/soak/target.go
+++ b/soak/target.go
@@ -66,12 +66,8 @@
 	p.leaving[old.entry.ID] = time.Now()
 	p.mu.Unlock()
 	s.targets = append(s.targets[:n], s.targets[n+1:]...)
-	s.group.Go(func() {
-		clock.Sleep(s.context, 2*drainTime)
-		s.store.Remove(old.entry.ID)
-		clock.Sleep(s.context, drainTime)
-		old.end()
-	})
+	r := &retirement{soak: s, target: old, after: 2 * drainTime}
+	s.group.Go(r.run)
 	return nil
 }
 
@@ -83,9 +79,22 @@
 	if err := s.addTarget(old.entry.Service); err != nil {
 		return err
 	}
-	s.group.Go(func() {
-		clock.Sleep(s.context, drainTime)
-		s.store.Remove(old.entry.ID)
-	})
+	r := &retirement{soak: s, target: old, after: drainTime}
+	s.group.Go(r.run)
 	return nil
 }
+
+// retirement takes a target's entry out of the store after a while, and ends the
+// target if it still runs.
+type retirement struct {
+	soak   *Soak
+	target *target
+	after  time.Duration
+}
+
+func (r *retirement) run() {
+	clock.Sleep(r.soak.context, r.after)
+	r.soak.store.Remove(r.target.entry.ID)
+	clock.Sleep(r.soak.context, drainTime)
+	r.target.end()
+}
