--- a/registry/registry.go
+++ b/registry/registry.go
@@ -379,31 +379,6 @@
 	return m, r.feed.End(), r.feed.Changed()
 }
 
-// State is the registry's part of a dump.
-type State struct {
-	Revision Revision
-	Targets  int
-	// Missing counts the targets that are kept though they may have lapsed.
-	Missing int
-	// AgeMilliseconds is how old the copy is; negative where there is none.
-	AgeMilliseconds int64
-	Platform        bool
-	Follows         []id.Host
-	Calls           int64
-}
-
-// State returns how far the copy is and where it comes from.
-func (r *Registry) State() any {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	st := State{
-		Revision: r.view.At(), AgeMilliseconds: r.age(time.Now(), true).Milliseconds(), Platform: r.reader != nil,
-		Follows: slices.Sorted(maps.Keys(r.followers)), Calls: r.calls,
-	}
-	st.Targets, st.Missing = r.view.Counts()
-	return st
-}
-
 // Targets returns nothing: peers follow the feed instead of asking for
 // documents.
 func (r *Registry) Targets(id.Service) []byte { return nil }
