CONFIG, DRAIN: send a change of the configuration as a patch; bound the progress of a stream, not a message

Cause: a change cost as much as the whole document. Each of the four readers sent 216 KB to 66 followers for each change, and each host got it from two readers. Streams ended, since a message had to be written and read within 0.9 s, and the next stream began with a full listing, which holds the document again: 403 ends of streams and dials of readers that timed out within 13 s, 58 of 132 daemons without the feed at 16 s, so that they heard neither of configurations nor of targets. A metastable failure: the first overload feeds the next.

Ruled out: slow decoding (configurations were in force within 0.1 ms of `configuration published`).

Change: package patch encodes a document as the difference from an earlier one (zstd with the earlier one as its dictionary; about 100 bytes for a changed route). The feed sends the first configuration of a stream compressed and later ones as patches, computed once for all followers. A follower asks for patches in its request, so that daemons of earlier versions get whole documents and can be followed. The feed holds no superseded documents (it held up to 1,024). Reads and writes of streams must make progress within 0.9 s; a message may take longer.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -111,6 +111,7 @@
 	group         conc.WaitGroup
 	// responsivenessChanges counts the changes of the links' unresponsive flags.
 	responsivenessChanges atomic.Uint64
+	patches               patchCache
 
 	mu    sync.Mutex
 	table *roster.Table
--- a/peer/server.go
+++ b/peer/server.go
@@ -24,7 +24,7 @@
 			r.Body = http.MaxBytesReader(w, r.Body, maxRPCRequest)
 			calls.ServeHTTP(w, r)
 		case r.RequestURI == feedPath:
-			feed, err := s.feedStream()
+			feed, err := s.feedStream(r)
 			if err != nil {
 				http.Error(w, "this daemon has no feed", http.StatusNotFound)
 				return
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -9,14 +9,13 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/briarrouter/briarrouter/backlog"
 	"github.com/briarrouter/briarrouter/id"
-	"github.com/briarrouter/briarrouter/kernel"
 	"github.com/briarrouter/briarrouter/message"
 	"github.com/briarrouter/briarrouter/peer/peerpb"
-	"github.com/briarrouter/briarrouter/registry"
 	"github.com/briarrouter/briarrouter/schedule"
 	"github.com/briarrouter/briarrouter/suspicion"
 	"github.com/briarrouter/briarrouter/unit"
@@ -24,17 +23,16 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// A daemon serves its feed of platform changes at feedPath, and at sightingPath
-// its sightings: the observations of targets that it shares with peers.
-const (
-	feedPath     = "/feed"
-	sightingPath = "/sightings"
-)
+// sightingPath is where a daemon serves its sightings: the observations of targets
+// that it shares with peers.
+const sightingPath = "/sightings"
 
 const (
 	// streamHeartbeat is the longest time between two messages of a stream.
 	streamHeartbeat = 300 * time.Millisecond
-	// streamTimeout bounds the wait for a message and the writing of one.
+	// streamTimeout bounds the time without progress in reading or writing. It does not
+	// bound a message: a listing may take longer on a slow link, and starting it anew
+	// would only load the link more.
 	streamTimeout     = 3 * streamHeartbeat
 	streamDialTimeout = 300 * time.Millisecond
 	// maxStreamMessage limits the size of a message. It leaves room for a
@@ -42,14 +40,6 @@
 	maxStreamMessage = 16 * unit.MiB
 )
 
-// feedSource provides the feed of this daemon.
-type feedSource interface {
-	// Changes returns the changes after a cursor, the cursor to continue from,
-	// and a channel that is closed when there are more. If first is set or the
-	// cursor is too old, it returns a full listing.
-	Changes(c backlog.Cursor, first bool) (registry.FeedMessage, backlog.Cursor, <-chan struct{})
-}
-
 // stream sends messages to a follower until the follower disconnects or this
 // daemon stops.
 type stream struct {
@@ -67,10 +57,7 @@
 	defer timer.Stop()
 	for {
 		next, more := s.next()
-		if err := control.SetWriteDeadline(time.Now().Add(streamTimeout)); err != nil {
-			return
-		}
-		if _, err := protodelim.MarshalTo(w, next); err != nil {
+		if _, err := protodelim.MarshalTo(progressWriter{w, control}, next); err != nil {
 			return
 		}
 		if err := control.Flush(); err != nil {
@@ -88,20 +75,40 @@
 	}
 }
 
-// feedStream returns a stream of this daemon's feed for one follower; it starts
-// with a full listing. Without a registry there is no feed, which is an error.
-func (s *Service) feedStream() (stream, error) {
-	source, err := kernel.Find[feedSource](s.kernel, registry.ServiceName)
-	if err != nil {
-		return stream{}, err
+// maxStreamWrite is how much is written within one streamTimeout. The slowest link
+// of a host carries many times as much.
+const maxStreamWrite = 16 << 10
+
+// progressWriter writes in pieces, each of which must be written within
+// streamTimeout.
+type progressWriter struct {
+	io.Writer
+	control *http.ResponseController
+}
+
+func (w progressWriter) Write(p []byte) (int, error) {
+	written := 0
+	for piece := range slices.Chunk(p, maxStreamWrite) {
+		if err := w.control.SetWriteDeadline(time.Now().Add(streamTimeout)); err != nil {
+			return written, err
+		}
+		n, err := w.Writer.Write(piece)
+		written += n
+		if err != nil {
+			return written, err
+		}
 	}
-	var cursor backlog.Cursor
-	first := true
-	return stream{s, func() (proto.Message, <-chan struct{}) {
-		changes, next, more := source.Changes(cursor, first)
-		cursor, first = next, false
-		return encodeFeedMessage(changes), more
-	}}, nil
+	return written, nil
+}
+
+// progressConn is a connection of which each read must end within streamTimeout.
+type progressConn struct{ net.Conn }
+
+func (c progressConn) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(streamTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
 }
 
 // sightingStream returns a stream of this daemon's sightings for one follower; it
@@ -118,23 +125,19 @@
 
 var errUnknownPeer = errors.New("address of the peer is not known")
 
-// FollowFeed calls handle for each message of a peer's feed until ctx ends or the
-// peer stops responding, and returns the reason.
-func (s *Service) FollowFeed(ctx context.Context, host id.Host, handle func(registry.FeedMessage)) error {
-	var m peerpb.FeedMessage
-	return s.follow(ctx, host, feedPath, &m, func() { handle(decodeFeedMessage(&m)) })
-}
-
 // FollowSightings calls handle for each message of a peer's sightings until ctx
 // ends or the peer stops responding, and returns the reason.
 func (s *Service) FollowSightings(ctx context.Context, host id.Host, handle func([]schedule.Sighting)) error {
 	var m peerpb.SightingMessage
-	return s.follow(ctx, host, sightingPath, &m, func() { handle(decodeSightings(&m)) })
+	return s.follow(ctx, host, sightingPath, &m, func() error {
+		handle(decodeSightings(&m))
+		return nil
+	})
 }
 
 // follow reads the messages of a stream into m and calls handle after each, until
-// ctx ends or the peer stops responding.
-func (s *Service) follow(ctx context.Context, host id.Host, path string, m proto.Message, handle func()) error {
+// ctx ends, the peer stops responding or handle returns an error.
+func (s *Service) follow(ctx context.Context, host id.Host, path string, m proto.Message, handle func() error) error {
 	l := s.link(host)
 	if l == nil {
 		return errUnknownPeer
@@ -149,37 +152,37 @@
 	return readStream(conn, string(l.address), path, m, handle)
 }
 
-func readStream(conn net.Conn, address, path string, m proto.Message, handle func()) error {
+func readStream(conn net.Conn, address, path string, m proto.Message, handle func() error) error {
 	reader, err := openStream(conn, address, path)
 	if err != nil {
 		return err
 	}
 	options := protodelim.UnmarshalOptions{MaxSize: int64(maxStreamMessage)}
 	for {
-		if err := conn.SetReadDeadline(time.Now().Add(streamTimeout)); err != nil {
-			return err
-		}
 		if err := options.UnmarshalFrom(reader, m); err != nil {
 			return fmt.Errorf("read stream %s from peer: %w", path, unexpectedEOF(err))
 		}
-		handle()
+		if err := handle(); err != nil {
+			return fmt.Errorf("read stream %s from peer: %w", path, err)
+		}
 	}
 }
 
 var errStreamHeader = fmt.Errorf("header section of a peer's stream exceeds %s", maxRPCHeader)
 
 func openStream(conn net.Conn, address, path string) (*bufio.Reader, error) {
-	if err := conn.SetDeadline(time.Now().Add(streamTimeout)); err != nil {
+	if err := conn.SetWriteDeadline(time.Now().Add(streamTimeout)); err != nil {
 		return nil, err
 	}
 	req, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return nil, err
 	}
+	req.Header.Set(acceptPatchField, patchMethod)
 	if err := req.Write(conn); err != nil {
 		return nil, err
 	}
-	source := &message.LimitedReader{Source: conn, Remaining: maxRPCHeader, Err: errStreamHeader}
+	source := &message.LimitedReader{Source: progressConn{conn}, Remaining: maxRPCHeader, Err: errStreamHeader}
 	resp, err := http.ReadResponse(bufio.NewReader(source), req)
 	if err != nil {
 		return nil, err
@@ -238,42 +241,3 @@
 	}
 	return list
 }
-
-func encodeFeedMessage(m registry.FeedMessage) *peerpb.FeedMessage {
-	f := &peerpb.FeedMessage{At: uint64(m.Listing.Revision), Whole: m.Listing.Full, AgeMilliseconds: m.Age.Milliseconds()}
-	if m.Age < 0 {
-		f.AgeMilliseconds = -1
-	}
-	for _, u := range m.Listing.Updates {
-		update := &peerpb.Update{Revision: uint64(u.Revision), Target: string(u.Target), Configuration: u.Configuration}
-		if e := u.Entry; e != nil {
-			update.Entry = &peerpb.Target{
-				Service: string(e.Service), Address: string(e.Address), FailureDomain: string(e.FailureDomain),
-				Leaving: e.Leaving, Incarnation: e.Incarnation, Slots: uint32(e.Slots),
-			}
-		}
-		f.Updates = append(f.Updates, update)
-	}
-	return f
-}
-
-func decodeFeedMessage(f *peerpb.FeedMessage) registry.FeedMessage {
-	m := registry.FeedMessage{
-		Listing: registry.Listing{Revision: registry.Revision(f.GetAt()), Full: f.GetWhole()},
-		Age:     time.Duration(f.GetAgeMilliseconds()) * time.Millisecond,
-	}
-	for _, u := range f.GetUpdates() {
-		update := registry.Update{Revision: registry.Revision(u.GetRevision()), Target: id.Target(u.GetTarget()), Configuration: u.GetConfiguration()}
-		if e := u.GetEntry(); e != nil {
-			update.Entry = &registry.Entry{
-				Service: id.Service(e.GetService()),
-				Endpoint: schedule.Endpoint{
-					ID: update.Target, Address: id.Address(e.GetAddress()), FailureDomain: id.FailureDomain(e.GetFailureDomain()),
-					Leaving: e.GetLeaving(), Incarnation: e.GetIncarnation(), Slots: unit.Slots(e.GetSlots()),
-				},
-			}
-		}
-		m.Listing.Updates = append(m.Listing.Updates, update)
-	}
-	return m
-}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -275,7 +275,7 @@
 		return
 	}
 	r.mu.Lock()
-	r.feed.Append(applied)
+	r.feed.Append(withoutConfigurations(applied))
 	document := r.view.Configuration()
 	r.mu.Unlock()
 	services := make(map[id.Service]bool)
@@ -306,6 +306,16 @@
 	}
 }
 
+// withoutConfigurations returns the updates without the documents of configurations.
+// The feed would otherwise hold as many large documents as it has room for updates.
+func withoutConfigurations(updates []Update) []Update {
+	list := slices.Clone(updates)
+	for i := range list {
+		list[i].Configuration = nil
+	}
+	return list
+}
+
 func (r *Registry) logUpdate(u Update) {
 	event := r.cfg.Log.Info().Uint64("Revision", uint64(u.Revision))
 	switch {
@@ -388,7 +398,7 @@
 	if first || !ok {
 		m.Listing = r.view.FullListing()
 	} else {
-		m.Listing = Listing{Updates: updates, Revision: r.view.Revision()}
+		m.Listing = Listing{Updates: r.view.withNewestConfiguration(updates), Revision: r.view.Revision()}
 	}
 	return m, r.feed.End(), r.feed.Changed()
 }
