--- a/peer/feed_test.go
+++ b/peer/feed_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -16,6 +15,7 @@
 	"github.com/briarrouter/briarrouter/kernel"
 	"github.com/briarrouter/briarrouter/peer/peerpb"
 	"github.com/briarrouter/briarrouter/registry"
+	"github.com/briarrouter/briarrouter/scripttest"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 )
@@ -133,14 +133,12 @@
 			stream.ServeHTTP(w, r)
 		}
 	})}
-	listener := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	listener := scripttest.NewPipeListener()
 	f.group.Go(func() { f.server.Serve(listener) })
-	sender := &rateLimiter{rate: sendRate}
+	uplink := &scripttest.Link{Rate: sendRate}
 	for i := range followers {
-		here, there := net.Pipe()
-		downlink := &rateLimiter{rate: receiveRate}
-		listener.conns <- &slowConn{Conn: there, links: []*rateLimiter{sender, downlink}}
-		f.group.Go(func() { f.follow(i, here) })
+		conn := listener.Connect(uplink, &scripttest.Link{Rate: receiveRate})
+		f.group.Go(func() { f.follow(i, conn) })
 	}
 	return f
 }
@@ -212,79 +210,3 @@
 	}
 	return m, s.cursor, s.changed
 }
-
-// rateLimiter is a link that carries a limited rate.
-type rateLimiter struct {
-	rate float64
-	mu   sync.Mutex
-	// free is when the link has carried all that was sent so far.
-	free time.Time
-}
-
-// reserve returns when the link will have carried the bytes.
-func (l *rateLimiter) reserve(now time.Time, bytes int) time.Time {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.free.Before(now) {
-		l.free = now
-	}
-	l.free = l.free.Add(time.Duration(float64(bytes) / l.rate * float64(time.Second)))
-	return l.free
-}
-
-// slowConn is a connection whose writes take as long as its links need.
-type slowConn struct {
-	net.Conn
-	links    []*rateLimiter
-	mu       sync.Mutex
-	deadline time.Time
-}
-
-func (c *slowConn) SetWriteDeadline(t time.Time) error {
-	c.mu.Lock()
-	c.deadline = t
-	c.mu.Unlock()
-	return c.Conn.SetWriteDeadline(t)
-}
-
-func (c *slowConn) Write(p []byte) (int, error) {
-	now := time.Now()
-	var done time.Time
-	for _, l := range c.links {
-		if at := l.reserve(now, len(p)); at.After(done) {
-			done = at
-		}
-	}
-	c.mu.Lock()
-	deadline := c.deadline
-	c.mu.Unlock()
-	if !deadline.IsZero() && deadline.Before(done) {
-		time.Sleep(deadline.Sub(now))
-		return 0, os.ErrDeadlineExceeded
-	}
-	time.Sleep(done.Sub(now))
-	return c.Conn.Write(p)
-}
-
-// pipeListener accepts the connections that a test hands it.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
