DRAIN: an older copy of a target no longer cancels its delayed removal

What callers saw: requests to targets that had left, or had said that they leave.

Cause: after an outage of the platform the view delays removals by 2.2 s, since registrations may only have lapsed. While a removal was pending, View.apply took any update of the target for its return, also one from before the removal: the full listing of a peer, whose own removal is delayed too, brought the target back for good, and as ready where it had been leaving. Daemons change the peers that they follow at the end of an outage, and each change begins with a full listing. Class: the order of two facts was decided by their arrival, not by their revision.

Change: an update takes effect only if it is newer than the delayed removal.

--- a/registry/view.go
+++ b/registry/view.go
@@ -66,6 +66,15 @@
 	removedAt time.Time
 }
 
+// revision returns the revision of the last update that is known of the target,
+// including a removal that is delayed.
+func (rec *targetRecord) revision() Revision {
+	if rec.delayedRemoval != nil {
+		return rec.delayedRemoval.Revision
+	}
+	return rec.update.Revision
+}
+
 // View is one daemon's copy of what the platform publishes. Methods that change
 // it return the updates that took effect, which are passed on to the followers
 // of this daemon. It is not safe for concurrent use.
@@ -123,7 +132,7 @@
 	case u.Entry == nil:
 		return v.remove(now, u, mayHaveLapsed)
 	default:
-		if rec := v.targets[u.Target]; rec != nil && rec.update.Revision >= u.Revision && rec.delayedRemoval == nil {
+		if rec := v.targets[u.Target]; rec != nil && rec.revision() >= u.Revision {
 			return nil
 		}
 		v.targets[u.Target] = &targetRecord{update: u}
