DRAIN: a full listing removes what it lacks, also if it is older than the copy

What callers saw: requests to targets that were gone.

Cause: a full listing was not allowed to remove targets if its revision was lower than the copy's. But the copy takes the highest revision of all its sources: a daemon whose peer had delayed a removal had a high revision and still the target; when it changed to a peer that had removed the target long ago, but was a few changes behind, the listing was ignored, and the changes that followed did not mention the target any more. It stayed until the next listing, for the life of the process where no source changed.

Change: the revision of each target decides, as for updates: what registered after the listing's revision stays.

--- a/registry/view.go
+++ b/registry/view.go
@@ -115,7 +115,7 @@
 	for _, u := range l.Updates {
 		applied = append(applied, v.apply(now, u, mayHaveLapsed)...)
 	}
-	if l.Full && l.Revision >= v.revision {
+	if l.Full {
 		applied = append(applied, v.removeUnlisted(now, l, mayHaveLapsed)...)
 	}
 	v.revision = max(v.revision, l.Revision)
@@ -140,7 +140,9 @@
 	return []Update{u}
 }
 
-// removeUnlisted removes the targets that a full listing lacks.
+// removeUnlisted removes the targets that a full listing lacks, except those that
+// registered after its revision. The listing may be older than the copy: the copy
+// may lack a removal that the peers it came from had delayed.
 func (v *View) removeUnlisted(now time.Time, l Listing, mayHaveLapsed bool) []Update {
 	listed := make(map[id.Target]bool, len(l.Updates))
 	for _, u := range l.Updates {
