REFUSED, TWICE: a retry never takes a copy of its earlier refusal for its response

What callers would see (reported by other operators): "not run, come back" for a request that a target had run or was running, or a second run on another target.

Cause: a response is matched to its request by the id that it repeats. A retry has the same id, and an idle connection of the same target may be the one on which the first attempt was refused. If the target writes that refusal once more, the copy was taken for the response to the retry, which was then "not run" while it ran. A refusal without an id was matched to any later request of its connection in the same way.

Change: a connection remembers the ids of all requests that got another response than a successful one; such a request is sent again on another connection only. After 16 of them, or after one without an id, the connection is closed.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -41,6 +41,11 @@
 	// echoes holds the ids of the last requests that got a response, at most
 	// maxEchoes.
 	echoes []string
+	// unserved holds the ids of the requests that got a response other than a
+	// successful one, at most maxUnserved. Such a request may be sent again, and then
+	// must not use this connection: the target may repeat its earlier response, which
+	// cannot be told from one to the later attempt.
+	unserved []string
 }
 
 // maxEchoes is how many request ids a connection remembers, so that late
@@ -48,6 +53,10 @@
 // on which a response was skipped is closed after the exchange.
 const maxEchoes = 4
 
+// maxUnserved is after how many responses other than successful ones a connection is
+// closed, so that it never forgets one of them.
+const maxUnserved = 16
+
 var errHeaderTooLarge = errors.New("response header section exceeds the size limit")
 
 func newConn(nc net.Conn) *conn {
@@ -75,6 +84,17 @@
 	c.echoes = append(c.echoes, echo)
 }
 
+// recordUnserved records that a request got a response other than a successful one, and
+// reports whether the connection can be used for other requests. It cannot if the
+// response carried no id.
+func (c *conn) recordUnserved(echo string, identified bool) bool {
+	c.unserved = append(c.unserved, echo)
+	return identified && len(c.unserved) < maxUnserved
+}
+
+// mayCarry reports whether the connection may be used for a request.
+func (c *conn) mayCarry(echo string) bool { return echo == "" || !slices.Contains(c.unserved, echo) }
+
 func (c *conn) hasEcho(echo string) bool { return slices.Contains(c.echoes, echo) }
 
 // begin resets the count of bytes written and the read limit for a new exchange.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -76,7 +76,7 @@
 // Do sends a request and reads its response. The end of ctx interrupts the
 // exchange.
 func (p *Pool) Do(ctx context.Context, call Call) Reply {
-	c, err := p.acquire(ctx, call.MaxIdle)
+	c, err := p.acquire(ctx, call.MaxIdle, call.Echo)
 	if err != nil {
 		return failedReply(outcome.DialFailed, err)
 	}
@@ -140,6 +140,9 @@
 	}
 	x.conn.liftReadLimit()
 	x.conn.recordEcho(call.Echo)
+	if call.EchoHeader != "" && !success(resp.StatusCode) && !x.conn.recordUnserved(call.Echo, resp.Header.Get(call.EchoHeader) != "") {
+		x.mustClose = true
+	}
 	reply := Reply{Status: resp.StatusCode, Header: resp.Header, Size: unit.Bytes(resp.ContentLength), TimeToHeader: time.Since(started)}
 	x.mustClose = x.mustClose || resp.Close || incomplete || send.err != nil
 	x.conn.readKeepAlive(resp.Header)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -132,9 +132,10 @@
 	}
 }
 
-// expand replaces ~ by the end of a line and OK by a status line.
+// expand replaces ~ by the end of a line, ^ by its first character and OK by a status
+// line.
 func expand(text string) string {
-	return strings.ReplaceAll(strings.ReplaceAll(text, "~", "\r\n"), "OK ", "HTTP/1.1 200 OK\r\n")
+	return strings.NewReplacer("~", "\r\n", "^", "\r", "OK ", "HTTP/1.1 200 OK\r\n").Replace(text)
 }
 
 // call takes the method and options: body=TEXT for a body that is buffered,
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -56,10 +56,10 @@
 
 var errPoolFull = errors.New("connection pool is full or closed")
 
-// acquire returns an idle connection that was used within maxIdle, or a new
-// one. A connection that has been idle for longer stays in the pool for calls
-// with a larger MaxIdle; if the pool is full, it is closed to make room.
-func (p *Pool) acquire(ctx context.Context, maxIdle time.Duration) (*conn, error) {
+// acquire returns an idle connection that was used within maxIdle and may carry the
+// request with the id echo, or a new one. Another connection stays in the pool for
+// other calls; if the pool is full, it is closed to make room.
+func (p *Pool) acquire(ctx context.Context, maxIdle time.Duration, echo string) (*conn, error) {
 	for {
 		c, err := p.acquireIdle()
 		switch {
@@ -69,7 +69,7 @@
 			return p.dial(ctx)
 		case c.checkIdle() != nil || !c.idleWithin(p.cfg.IdleLimit):
 			p.discard(c)
-		case c.idleWithin(maxIdle):
+		case c.idleWithin(maxIdle) && c.mayCarry(echo):
 			return c, nil
 		case p.returnUnused(c):
 			return p.dial(ctx)
