--- a/configuration/service.go
+++ b/configuration/service.go
@@ -119,6 +119,9 @@
 	// slots of a target, separated by commas; empty if targets do not report
 	// them.
 	LoadHeader string
+	// BackoffStatus is the status of a response whose Retry-After field says for how many
+	// seconds the target wants no requests of this daemon; zero if there is none.
+	BackoffStatus int
 	// LimitHeader names the requests a second that a target takes from all daemons
 	// together, as a decimal number, for as long as its responses carry the field;
 	// empty if targets name no limits.
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -16,8 +15,6 @@
 	"github.com/briarrouter/briarrouter/exchange"
 	"github.com/briarrouter/briarrouter/outcome"
 	"github.com/briarrouter/briarrouter/schedule"
-	"github.com/briarrouter/briarrouter/statement"
-	"github.com/briarrouter/briarrouter/unit"
 	"github.com/briarrouter/briarrouter/work"
 )
 
@@ -114,10 +111,8 @@
 	if reply.Ending != outcome.Answered {
 		return
 	}
-	if contract.DrainHeader != "" && reply.Header.Get(contract.DrainHeader) != "" {
-		a.result.Draining = true
-	}
-	a.service.recordStatement(a, parseStatement(reply.Header, contract))
+	said, err := parseStatement(reply, contract)
+	a.service.recordStatement(a.startedAt, a.endpoint, said, err)
 	a.result.Load = parseLoad(reply.Header.Get(contract.LoadHeader))
 	a.result.Misdirected = contract.MisdirectedStatus != 0 && reply.Status == contract.MisdirectedStatus
 	if declined(reply, contract) {
@@ -137,28 +132,6 @@
 
 var errUnprovenNotRun = errors.New("response status means that the request did not run, but the response lacks the required proof")
 
-// parseStatement reads what a response says of its target. A field that cannot be read
-// says nothing.
-func parseStatement(h http.Header, contract configuration.Contract) statement.Statement {
-	var s statement.Statement
-	if contract.LimitHeader == "" {
-		return s
-	}
-	limit, err := strconv.ParseFloat(strings.TrimSpace(h.Get(contract.LimitHeader)), 64)
-	if err == nil && limit >= 0 && !math.IsInf(limit, 0) {
-		s.Limited, s.Limit = true, unit.PerSecond(limit)
-	}
-	return s
-}
-
-// recordStatement records what the response to an attempt says of its target.
-func (s *serviceDispatcher) recordStatement(a *attempt, said statement.Statement) {
-	if s.dispatcher.statements.Record(time.Now(), a.startedAt, a.endpoint.Process(), said) {
-		s.log.Info().Str("Request", string(a.execution.req.ID)).Str("Target", string(a.endpoint.ID)).
-			Bool("Limited", said.Limited).Float64("Limit", float64(said.Limit)).Msg("limit of a target changes")
-	}
-}
-
 // discard releases the memory of an unused response and closes its body.
 func (a *attempt) discard(reply *exchange.Reply) {
 	reply.Release()
@@ -203,7 +176,7 @@
 // to the scheduler.
 func (a *attempt) releaseSlot(e outcome.Ending) {
 	a.result.Ending = e
-	a.service.finish(a.ticket, a.endpoint.Address, a.result)
+	a.service.finish(a.ticket, a.result)
 }
 
 // response returns the target's response for the caller.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -56,7 +56,7 @@
 		Contract: configuration.Contract{
 			NotRunHeader: "X-Not-Run", NotRunAnyStatus: true, MisdirectedStatus: http.StatusMisdirectedRequest,
 			EchoHeader: "X-Id", EchoVerbatim: true, DeadlineHeader: "X-Left", TargetHeader: "X-Target", SignatureHeader: "X-Signature",
-			LoadHeader: "X-Load", LimitHeader: "X-Limit", RetryFailures: true, CallerNotRunStatuses: []int{http.StatusServiceUnavailable},
+			LoadHeader: "X-Load", LimitHeader: "X-Limit", DrainHeader: "X-Leaving", BackoffStatus: http.StatusServiceUnavailable, RetryFailures: true, CallerNotRunStatuses: []int{http.StatusServiceUnavailable},
 		},
 	}
 	other := *s.policy
@@ -117,7 +117,7 @@
 
 // execute runs one of these commands:
 //
-//	targets NAME...          list the targets of service beds
+//	targets NAME...          list the targets of service beds, each NAME or NAME/INCARNATION
 //	halls NAME               list the target of service halls
 //	spread                   require a minimum coverage of 70 % of the targets
 //	do NAME STEP | STEP...   set how a target handles its next requests
@@ -136,7 +136,9 @@
 	case "targets":
 		var list []schedule.Endpoint
 		for _, name := range w[1:] {
-			list = append(list, schedule.Endpoint{ID: id.Target(name), Address: id.Address(name)})
+			name, number, _ := strings.Cut(name, "/")
+			incarnation, _ := strconv.ParseUint(number, 10, 64)
+			list = append(list, schedule.Endpoint{ID: id.Target(name), Address: id.Address(name), Incarnation: incarnation})
 		}
 		s.setTargets["beds"](list)
 	case "halls":
@@ -268,7 +270,9 @@
 // run"), unproven (status 503 without it), misdirected (another process at the
 // address: status 421), close (close the connection without a response), hang,
 // limited (the target names a limit of two requests a second), unreadable (a limit
-// that is no number), unsigned (no signature), noise (bytes without an end that are no response),
+// that is no number), leaving (the target is leaving), shed-leaving (both), back=SECONDS
+// (shed, and no request is wanted for that time), unproven-back=SECONDS (the same without
+// the proof), unsigned (no signature), noise (bytes without an end that are no response),
 // endless (a response whose body has no end), or dropidle (respond, and close the
 // connection at the next request). The step refuse is carried out by
 // requestScript.dial.
@@ -308,6 +312,10 @@
 		header = "200 OK\r\nX-Signature: s\r\nX-Limit: 2"
 	case "unreadable":
 		header = "200 OK\r\nX-Signature: s\r\nX-Limit: many"
+	case "leaving":
+		header = "200 OK\r\nX-Signature: s\r\nX-Leaving: 1"
+	case "shed-leaving":
+		header = "503 Full\r\nX-Not-Run: 1\r\nX-Leaving: 1"
 	case "unsigned":
 		header = "200 OK"
 	case "fail":
@@ -326,7 +334,15 @@
 		time.Sleep(longestStep / 2)
 		return false
 	default:
-		return false
+		// back=SECONDS and unproven-back=SECONDS refuse with Retry-After.
+		word, seconds, backoff := strings.Cut(step, "=")
+		if !backoff {
+			return false
+		}
+		header = "503 Full\r\nRetry-After: " + seconds
+		if word == "back" {
+			header += "\r\nX-Not-Run: 1"
+		}
 	}
 	_, err := fmt.Fprintf(t.conn, "HTTP/1.1 %s\r\nX-Id: %s\r\nContent-Length: 2\r\n\r\n%s", header, echo, "ab")
 	return err == nil
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -16,7 +16,6 @@
 
 	"github.com/briarrouter/briarrouter/backlog"
 	"github.com/briarrouter/briarrouter/configuration"
-	"github.com/briarrouter/briarrouter/drain"
 	"github.com/briarrouter/briarrouter/exchange"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/kernel"
@@ -90,7 +89,6 @@
 	// quarantines holds the quarantines reported by this daemon's service dispatchers
 	// and by peers.
 	quarantines *quarantine.Table
-	draining    *drain.Table
 	// statements is safe for concurrent use.
 	statements *statement.Table
 	// urgent holds at most one service whose standbys must be notified at once.
@@ -99,9 +97,8 @@
 
 func New(cfg Config) *Dispatcher {
 	d := &Dispatcher{
-		cfg: cfg, services: make(map[id.Service]*serviceDispatcher), quarantines: quarantine.New(), draining: drain.New(),
-		statements: statement.New(),
-		urgent:     make(chan id.Service, 1), publishSoon: make(chan struct{}, 1), publishNow: make(chan struct{}, 1),
+		cfg: cfg, services: make(map[id.Service]*serviceDispatcher), quarantines: quarantine.New(), statements: statement.New(),
+		urgent: make(chan id.Service, 1), publishSoon: make(chan struct{}, 1), publishNow: make(chan struct{}, 1),
 		followers: make(map[id.Host]*sightingFollower), sightings: backlog.New[schedule.Sighting](maxSightings),
 	}
 	d.replicas.Store(&Replicas{})
@@ -184,7 +181,7 @@
 }
 
 // UrgentServices returns a channel of services that have a new quarantine or a
-// newly draining target, of which their standbys must be notified at once.
+// newly leaving target, of which their standbys must be notified at once.
 func (d *Dispatcher) UrgentServices() <-chan id.Service { return d.urgent }
 
 // requestStandbyNotice requests that the standbys of a service be notified at once,
@@ -213,56 +210,25 @@
 	d.quarantines.Learn(time.Now(), notices)
 }
 
-// DrainNotices returns at most n drain notices to send to a peer.
-func (d *Dispatcher) DrainNotices(n int) []drain.Notice {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.draining.Notices(time.Now(), n)
+// LeavingNotices returns notices of at most n targets that are leaving to send to a
+// peer.
+func (d *Dispatcher) LeavingNotices(n int) []statement.LeavingNotice {
+	return d.statements.LeavingNotices(time.Now(), n)
 }
 
-// LearnDrainNotices adds drain notices from a peer.
-func (d *Dispatcher) LearnDrainNotices(notices []drain.Notice) {
-	d.mu.Lock()
-	added := d.draining.Learn(time.Now(), notices)
-	d.mu.Unlock()
-	for _, s := range d.serviceDispatchers() {
-		s.setDraining(added)
-	}
+// LearnLeaving adds the targets that a peer knows to be leaving.
+func (d *Dispatcher) LearnLeaving(notices []statement.LeavingNotice) {
+	d.statements.LearnLeaving(time.Now(), notices)
 }
 
 // LimitNotices returns notices of at most n limits of targets to send to a peer.
-func (d *Dispatcher) LimitNotices(n int) []statement.Notice {
-	return d.statements.Notices(time.Now(), n)
+func (d *Dispatcher) LimitNotices(n int) []statement.LimitNotice {
+	return d.statements.LimitNotices(time.Now(), n)
 }
 
 // LearnLimits adds the limits of targets that a peer knows.
-func (d *Dispatcher) LearnLimits(notices []statement.Notice) {
-	d.statements.Learn(time.Now(), notices)
-}
-
-// recordDrain records a drain notice of a target. The standbys of its service are
-// notified if it is the first one.
-func (d *Dispatcher) recordDrain(s id.Service, a id.Address) {
-	d.mu.Lock()
-	added := d.draining.RecordNotice(time.Now(), a)
-	d.mu.Unlock()
-	if added {
-		d.cfg.Log.Info().Str("Service", string(s)).Str("Address", string(a)).Msg("target is leaving")
-		d.requestStandbyNotice(s)
-	}
-}
-
-// clearDrain records that a target no longer drains.
-func (d *Dispatcher) clearDrain(a id.Address) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.draining.Forget(a)
-}
-
-func (d *Dispatcher) isDraining(a id.Address) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.draining.Draining(time.Now(), a)
+func (d *Dispatcher) LearnLimits(notices []statement.LimitNotice) {
+	d.statements.LearnLimits(time.Now(), notices)
 }
 
 // ServiceState is one service's part of a dump.
@@ -277,16 +243,15 @@
 // DispatcherState is the dispatcher's part of a dump.
 type DispatcherState struct {
 	Quarantine quarantine.State
-	Departures drain.State
 	Statements statement.State
 	Services   []ServiceState
 }
 
-// State returns the quarantines, the draining targets and the state of each
+// State returns the quarantines, the counts of statements and the state of each
 // service that this daemon has dispatched or prepared.
 func (d *Dispatcher) State() any {
 	d.mu.Lock()
-	st := DispatcherState{Quarantine: d.quarantines.State(), Departures: d.draining.State(), Statements: d.statements.State()}
+	st := DispatcherState{Quarantine: d.quarantines.State(), Statements: d.statements.State(time.Now())}
 	services := maps.Clone(d.services)
 	d.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(services)) {
--- a/dispatch/handle.go
+++ b/dispatch/handle.go
@@ -137,10 +137,7 @@
 	return schedule.Decision{Kind: schedule.Refused, Reason: work.DeadlinePassed}
 }
 
-func (s *serviceDispatcher) finish(ticket schedule.Ticket, address id.Address, r schedule.Result) {
-	if r.Draining {
-		s.dispatcher.recordDrain(s.name, address)
-	}
+func (s *serviceDispatcher) finish(ticket schedule.Ticket, r schedule.Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -230,12 +227,12 @@
 }
 
 // retryAfter returns the delay after which a caller whose request did not run may
-// retry. It is drawn uniformly, so that callers that were refused together do not
-// retry together.
+// retry: from when on a target may be sent a request, if the targets say so. It is
+// drawn uniformly, so that callers that were refused together do not retry together.
 func (s *serviceDispatcher) retryAfter() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return minRetryAfter + time.Duration(s.random.Int64N(int64(maxRetryAfter-minRetryAfter)))
+	return s.scheduler.StatedWait(time.Now()) + minRetryAfter + time.Duration(s.random.Int64N(int64(maxRetryAfter-minRetryAfter)))
 }
 
 const (
--- a/dispatch/prober.go
+++ b/dispatch/prober.go
@@ -9,12 +9,13 @@
 	"github.com/briarrouter/briarrouter/exchange"
 	"github.com/briarrouter/briarrouter/outcome"
 	"github.com/briarrouter/briarrouter/schedule"
+	"github.com/briarrouter/briarrouter/statement"
 )
 
 // prober sends health checks to one target. Health endpoints lag behind the
 // target's state and can be wrong, so a successful health check does not make a
-// target count as healthy. Only a failed dial, a drain notice and its absence have
-// an effect: responses without a drain notice can return a draining target to
+// target count as healthy. Only a failed dial, a statement of the target and its absence have
+// an effect: responses without a statement can return a leaving target to
 // service, see schedule.Scheduler.SetServing.
 type prober struct {
 	service  *serviceDispatcher
@@ -59,6 +60,7 @@
 func (p *prober) probe(ctx context.Context, probe configuration.Probe, contract configuration.Contract) {
 	ctx, cancel := context.WithTimeout(ctx, probe.Timeout)
 	defer cancel()
+	started := time.Now()
 	reply := p.pool.Do(ctx, exchange.Call{
 		Method: http.MethodGet, URI: probe.Path, Host: string(p.endpoint.Address), MaxIdle: idleLimit,
 	})
@@ -66,24 +68,24 @@
 	if reply.Rest != nil {
 		reply.Rest.Close()
 	}
-	p.service.handleProbe(p.endpoint, reply, contract)
+	p.service.handleProbe(p.endpoint, started, reply, contract)
 }
 
-// handleProbe applies the result of a health check.
-func (s *serviceDispatcher) handleProbe(e schedule.Endpoint, reply exchange.Reply, contract configuration.Contract) {
+// handleProbe applies the result of a health check that was sent at a time.
+func (s *serviceDispatcher) handleProbe(e schedule.Endpoint, sentAt time.Time, reply exchange.Reply, contract configuration.Contract) {
 	now := time.Now()
-	draining := reply.Ending == outcome.Answered && contract.DrainHeader != "" && reply.Header.Get(contract.DrainHeader) != ""
-	if draining {
-		s.dispatcher.recordDrain(s.name, e.Address)
+	var said statement.Statement
+	if reply.Ending == outcome.Answered {
+		var err error
+		said, err = parseStatement(&reply, contract)
+		s.recordStatement(sentAt, e, said, err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case reply.Ending == outcome.DialFailed:
 		s.scheduler.SetUnreachable(now, e.ID)
-	case draining:
-		s.scheduler.SetLeaving(now, e.Address)
-	case reply.Ending == outcome.Answered && s.scheduler.SetServing(now, e.Address):
-		s.dispatcher.clearDrain(e.Address)
+	case reply.Ending == outcome.Answered && !said.Leaving:
+		s.scheduler.SetServing(now, e.Address)
 	}
 }
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -178,11 +178,6 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.scheduler.SetTargets(now, list)
-	for _, e := range list {
-		if s.dispatcher.isDraining(e.Address) {
-			s.scheduler.SetLeaving(now, e.Address)
-		}
-	}
 	next := make(map[id.Target]*targetPool)
 	for _, e := range list {
 		next[e.ID] = s.reuseOrCreatePool(ctx, e)
@@ -202,15 +197,6 @@
 	s.deliverDecisions(now)
 }
 
-// setDraining marks the targets at the given addresses as draining.
-func (s *serviceDispatcher) setDraining(list []id.Address) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, a := range list {
-		s.scheduler.SetLeaving(time.Now(), a)
-	}
-}
-
 const (
 	// dialTimeout is less than the 1 s after which TCP retransmits a lost SYN:
 	// trying another target is faster.
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/briarrouter/briarrouter/drain"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/peer/peerpb"
 	"github.com/briarrouter/briarrouter/quarantine"
@@ -66,26 +65,29 @@
 	return notices
 }
 
-func encodeDepartures(list []drain.Notice) []*peerpb.Departure {
+func encodeDepartures(list []statement.LeavingNotice) []*peerpb.Departure {
 	var departures []*peerpb.Departure
-	for _, d := range list {
-		departures = append(departures, &peerpb.Departure{Address: string(d.Address), AgeMilliseconds: uint32(d.Age.Milliseconds())})
+	for _, n := range list {
+		departures = append(departures, &peerpb.Departure{
+			Target: string(n.Process.Target), Address: string(n.Process.Address), Incarnation: n.Process.Incarnation,
+			AgeMilliseconds: uint32(n.Age.Milliseconds()),
+		})
 	}
 	return departures
 }
 
-func decodeDepartures(list []*peerpb.Departure) []drain.Notice {
-	var notices []drain.Notice
+func decodeDepartures(list []*peerpb.Departure) []statement.LeavingNotice {
+	var notices []statement.LeavingNotice
 	for _, d := range list[:min(len(list), maxNotices)] {
-		notices = append(notices, drain.Notice{
-			Address: id.Address(d.GetAddress()),
+		notices = append(notices, statement.LeavingNotice{
+			Process: statement.Process{Target: id.Target(d.GetTarget()), Address: id.Address(d.GetAddress()), Incarnation: d.GetIncarnation()},
 			Age:     time.Duration(d.GetAgeMilliseconds()) * time.Millisecond,
 		})
 	}
 	return notices
 }
 
-func encodeLimits(list []statement.Notice) []*peerpb.Limit {
+func encodeLimits(list []statement.LimitNotice) []*peerpb.Limit {
 	var limits []*peerpb.Limit
 	for _, n := range list {
 		limits = append(limits, &peerpb.Limit{
@@ -96,10 +98,10 @@
 	return limits
 }
 
-func decodeLimits(list []*peerpb.Limit) []statement.Notice {
-	var notices []statement.Notice
+func decodeLimits(list []*peerpb.Limit) []statement.LimitNotice {
+	var notices []statement.LimitNotice
 	for _, l := range list[:min(len(list), maxNotices)] {
-		notices = append(notices, statement.Notice{
+		notices = append(notices, statement.LimitNotice{
 			Process: statement.Process{Target: id.Target(l.GetTarget()), Address: id.Address(l.GetAddress()), Incarnation: l.GetIncarnation()},
 			Limit:   unit.PerSecond(l.GetPerSecond()),
 			Age:     time.Duration(l.GetAgeMilliseconds()) * time.Millisecond,
--- a/peer/join.go
+++ b/peer/join.go
@@ -8,7 +8,7 @@
 )
 
 // loop requests probes, advances the timers of the roster, and notifies the
-// standbys of a service of its new quarantines and draining targets.
+// standbys of a service of its new quarantines and leaving targets.
 func (s *Service) loop(ctx context.Context) {
 	last := time.Now()
 	timer := time.NewTimer(s.probeInterval())
--- a/peer/news.go
+++ b/peer/news.go
@@ -9,7 +9,7 @@
 )
 
 // notifiedStandbys is how many daemons at the start of a service's ranking are
-// notified immediately of a new quarantine or a draining target. This daemon
+// notified immediately of a new quarantine or a leaving target. This daemon
 // counts if it is among them.
 const notifiedStandbys = 4
 
@@ -30,7 +30,7 @@
 	// maxMembers limits the membership entries in a message, except in the
 	// response to a peer whose incarnation was unknown or declared dead.
 	maxMembers = 8
-	// maxNotices limits the quarantines, the drain notices and the limits of targets in
+	// maxNotices limits the quarantines, the leaving targets and the limits of targets in
 	// a message, each separately.
 	maxNotices = 8
 )
@@ -41,7 +41,7 @@
 	n := &peerpb.News{
 		InForce:    encodeVersion(s.store.Version()),
 		Notices:    encodeNotices(s.dispatcher.Quarantines(maxNotices)),
-		Departures: encodeDepartures(s.dispatcher.DrainNotices(maxNotices)),
+		Departures: encodeDepartures(s.dispatcher.LeavingNotices(maxNotices)),
 		Limits:     encodeLimits(s.dispatcher.LimitNotices(maxNotices)),
 	}
 	s.mu.Lock()
@@ -71,7 +71,7 @@
 	l := s.links[from.Host]
 	s.mu.Unlock()
 	s.dispatcher.LearnQuarantines(decodeNotices(n.GetNotices()))
-	s.dispatcher.LearnDrainNotices(decodeDepartures(n.GetDepartures()))
+	s.dispatcher.LearnLeaving(decodeDepartures(n.GetDepartures()))
 	s.dispatcher.LearnLimits(decodeLimits(n.GetLimits()))
 	if l != nil && n.GetInForce() != nil {
 		l.requestFetch(decodeVersion(n.GetInForce()))
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -1,6 +1,6 @@
 // Package peer communicates with the other daemons: it detects failures with
 // direct and indirect pings (SWIM), gossips membership, configuration versions,
-// quarantines and drain notices, streams platform changes and observations of
+// quarantines and statements of targets, streams platform changes and observations of
 // targets, and relays requests.
 package peer
 
@@ -18,7 +18,6 @@
 
 	"github.com/briarrouter/briarrouter/backlog"
 	"github.com/briarrouter/briarrouter/configuration"
-	"github.com/briarrouter/briarrouter/drain"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/kernel"
 	"github.com/briarrouter/briarrouter/memory"
@@ -57,17 +56,17 @@
 type dispatcher interface {
 	Quarantines(n int) []quarantine.Notice
 	LearnQuarantines(notices []quarantine.Notice)
-	DrainNotices(n int) []drain.Notice
-	LearnDrainNotices(notices []drain.Notice)
-	LimitNotices(n int) []statement.Notice
-	LearnLimits(notices []statement.Notice)
+	LeavingNotices(n int) []statement.LeavingNotice
+	LearnLeaving(notices []statement.LeavingNotice)
+	LimitNotices(n int) []statement.LimitNotice
+	LearnLimits(notices []statement.LimitNotice)
 	// Sightings returns the sightings after a cursor, the cursor to continue
 	// from, and a channel that is closed when there are more. If first is set,
 	// as in the first call for a follower, it ignores the cursor and returns the
 	// current state of all targets.
 	Sightings(c backlog.Cursor, first bool) ([]schedule.Sighting, backlog.Cursor, <-chan struct{})
 	// UrgentServices returns a channel of services whose standbys must be
-	// notified immediately of a new quarantine or a draining target.
+	// notified immediately of a new quarantine or a leaving target.
 	UrgentServices() <-chan id.Service
 }
 
--- a/schedule/choice.go
+++ b/schedule/choice.go
@@ -220,7 +220,7 @@
 // targetCapacity returns how many requests the target can run concurrently now; zero
 // while its statements forbid to send it one.
 func (s *Scheduler) targetCapacity(now time.Time, t *target) int {
-	if s.statements.Verdict(now, t.endpoint.Process()).Wait > 0 {
+	if !s.statements.Verdict(now, t.endpoint.Process()).Allowed() {
 		return 0
 	}
 	return t.capacity(now, s.slots(t.endpoint), s.policy.Warmup, s.health.State(t.endpoint.ID))
--- a/schedule/coverage.go
+++ b/schedule/coverage.go
@@ -9,7 +9,8 @@
 // requests. Ended, Unserved and Running decide nothing; they tell whether a platform
 // would check the coverage.
 type Coverage struct {
-	// Targets is the number of targets that are not leaving and name no limit.
+	// Targets is the number of targets that are not leaving, and whose statements do not
+	// keep requests away.
 	Targets int
 	// Used is the number of those that received a request within spreadWindow, Failed
 	// the number of those on which a request failed within failedWindow.
@@ -37,7 +38,7 @@
 func (s *Scheduler) Coverage(now time.Time) Coverage {
 	var c Coverage
 	for _, t := range s.targets {
-		if t.leaving || s.statements.Verdict(now, t.endpoint.Process()).Limited {
+		if v := s.statements.Verdict(now, t.endpoint.Process()); t.leaving || v.Limited || !v.Allowed() {
 			continue
 		}
 		used, sound := now.Sub(t.lastUsed) < spreadWindow, t.soundProbability(now)
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -154,6 +154,15 @@
 	return jobs
 }
 
+// removeAll removes and returns all jobs.
+func (q *queue) removeAll() []Job {
+	jobs := slices.Clone(q.jobs)
+	for _, j := range jobs {
+		q.remove(j.Ticket)
+	}
+	return jobs
+}
+
 // removeLate removes and returns the jobs with less than the required time left
 // before their deadlines.
 func (q *queue) removeLate(now time.Time, required func(Job) time.Duration) []Job {
--- a/schedule/result.go
+++ b/schedule/result.go
@@ -16,8 +16,6 @@
 	Ending outcome.Ending
 	// Wrong means that the response reports a failure of the target.
 	Wrong bool
-	// Draining means that the response carried a drain notice.
-	Draining bool
 	// Misdirected means that another process than the expected one responded at
 	// the target's address.
 	Misdirected bool
@@ -49,7 +47,7 @@
 	if !g.pending {
 		s.startPending(now, t)
 	}
-	if r.Draining || r.Misdirected {
+	if r.Misdirected {
 		t.markLeaving(now)
 	}
 	if r.Load != nil {
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -13,6 +13,7 @@
 	"github.com/briarrouter/briarrouter/outcome"
 	"github.com/briarrouter/briarrouter/quarantine"
 	"github.com/briarrouter/briarrouter/scripttest"
+	"github.com/briarrouter/briarrouter/statement"
 	"github.com/briarrouter/briarrouter/suspicion"
 	"github.com/briarrouter/briarrouter/unit"
 	"github.com/briarrouter/briarrouter/work"
@@ -182,18 +183,21 @@
 // the target, wrong, draining.
 func (s *script) finish(name string, e outcome.Ending, options []string) string {
 	r := Result{Ending: e, Elapsed: 10 * time.Millisecond}
+	leaving := false
 	for _, o := range options {
 		switch o {
 		case "wrong":
 			r.Wrong = true
 		case "draining":
-			r.Draining = true
+			leaving = true
 		default:
 			r.Elapsed, _ = time.ParseDuration(o)
 		}
 	}
 	for ticket, n := range s.names {
-		if _, runs := s.scheduler.granted[ticket]; runs && n == name {
+		if g, runs := s.scheduler.granted[ticket]; runs && n == name {
+			now := s.clock.Now()
+			s.scheduler.statements.Record(now, now, g.target.endpoint.Process(), statement.Statement{Leaving: leaving})
 			s.scheduler.Finish(s.clock.Now(), ticket, r)
 		}
 	}
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -202,22 +202,12 @@
 	return s.policy.Slots
 }
 
-// SetLeaving records a sign that the target at an address is leaving.
-func (s *Scheduler) SetLeaving(now time.Time, address id.Address) {
-	for _, t := range s.targets {
-		if t.endpoint.Address == address {
-			t.markLeaving(now)
-		}
-	}
-	s.updateUnavailable(now)
-}
-
 // SetServing records that a target's health endpoint showed no sign of leaving,
 // and reports whether the target returns to service.
 func (s *Scheduler) SetServing(now time.Time, address id.Address) bool {
 	back := false
 	for _, t := range s.targets {
-		if t.endpoint.Address == address && t.markServing(now) {
+		if t.endpoint.Address == address && s.markServing(now, t) {
 			back = true
 		}
 	}
@@ -225,6 +215,29 @@
 	return back
 }
 
+// leaving reports whether the target is leaving, by the platform's list or by its own
+// word.
+func (s *Scheduler) leaving(now time.Time, t *target) bool {
+	return t.leaving || s.statements.Verdict(now, t.endpoint.Process()).Leaving
+}
+
+// markServing records that the health endpoint showed no sign of leaving, and reports
+// whether the target returns to service.
+func (s *Scheduler) markServing(now time.Time, t *target) bool {
+	p := t.endpoint.Process()
+	said := s.statements.LeavingSaidAt(now, p)
+	lastSign := said
+	if t.leaving && t.lastLeavingSign.After(said) {
+		lastSign = t.lastLeavingSign
+	}
+	if lastSign.IsZero() || t.endpoint.Leaving || now.Sub(lastSign) < servingDelay {
+		return false
+	}
+	s.statements.Stay(p)
+	t.leaving, t.warmupStart = false, now
+	return true
+}
+
 // SetUnreachable records a failed connection to a target.
 func (s *Scheduler) SetUnreachable(now time.Time, name id.Target) {
 	for _, t := range s.targets {
@@ -238,7 +251,7 @@
 // because they are leaving or unreachable.
 func (s *Scheduler) updateUnavailable(now time.Time) {
 	for _, t := range s.targets {
-		s.health.SetUnavailable(t.endpoint.ID, t.leaving || now.Before(t.backoffUntil))
+		s.health.SetUnavailable(t.endpoint.ID, s.leaving(now, t) || now.Before(t.backoffUntil))
 	}
 }
 
@@ -258,12 +271,20 @@
 			return s.grant(now, job, t, choice)
 		}
 	}
-	if len(s.targets) == 0 {
-		return s.refuse(work.NoTarget, time.Second)
+	if !s.anyStays(now) {
+		return s.refuse(work.NoTarget, noTargetRetryAfter)
 	}
 	return s.enqueue(now, job)
 }
 
+// noTargetRetryAfter is about the time in which a platform lists a new target.
+const noTargetRetryAfter = time.Second
+
+// anyStays reports whether there is a target that is not leaving.
+func (s *Scheduler) anyStays(now time.Time) bool {
+	return slices.ContainsFunc(s.targets, func(t *target) bool { return !s.leaving(now, t) })
+}
+
 func (s *Scheduler) refuse(reason work.Reason, after time.Duration) Decision {
 	s.counts.Refused++
 	return Decision{Kind: Refused, Reason: reason, RetryAfter: after}
@@ -304,16 +325,20 @@
 	return time.Duration(float64(ahead) * float64(s.serviceTime(job.Route.Name).mean()) / float64(slots))
 }
 
+// StatedWait returns how long the statements of the targets keep all requests waiting;
+// zero if they let some target be sent one now.
+func (s *Scheduler) StatedWait(now time.Time) time.Duration { return s.statedWait(now, 0) }
+
 // statedWait returns how long the statements of the targets keep a request waiting
 // behind a number of others; zero if they let some target be sent one now.
 func (s *Scheduler) statedWait(now time.Time, ahead int) time.Duration {
 	var first time.Duration
 	var rate unit.PerSecond
 	for _, t := range s.targets {
-		if t.leaving {
+		v := s.statements.Verdict(now, t.endpoint.Process())
+		if t.leaving || v.Leaving {
 			continue
 		}
-		v := s.statements.Verdict(now, t.endpoint.Process())
 		if v.Wait == 0 {
 			return 0
 		}
@@ -359,6 +384,11 @@
 	for _, job := range s.queue.takeEvicted() {
 		decisions = append(decisions, QueueDecision{job.Ticket, s.refuse(work.Overloaded, s.retryAfter(now))})
 	}
+	if s.queue.len() > 0 && !s.anyStays(now) {
+		for _, job := range s.queue.removeAll() {
+			decisions = append(decisions, QueueDecision{job.Ticket, s.refuse(work.NoTarget, noTargetRetryAfter)})
+		}
+	}
 	for _, job := range s.queue.removeLate(now, s.requiredTime) {
 		decisions = append(decisions, QueueDecision{job.Ticket, s.refuse(work.DeadlineTooNear, s.retryAfter(now))})
 	}
--- a/schedule/spread.go
+++ b/schedule/spread.go
@@ -79,7 +79,7 @@
 	}
 	var best *target
 	for _, t := range s.targets {
-		if t.leaving || now.Sub(t.lastUsed) < spreadWindow || now.Sub(t.lastFailed) < failedWindow || !s.eligible(now, t, job, suspect) {
+		if now.Sub(t.lastUsed) < spreadWindow || now.Sub(t.lastFailed) < failedWindow || !s.eligible(now, t, job, suspect) {
 			continue
 		}
 		if best == nil || t.failureProbability(now) < best.failureProbability(now) {
--- a/schedule/state.go
+++ b/schedule/state.go
@@ -36,7 +36,7 @@
 	for _, t := range s.targets {
 		st.Targets = append(st.Targets, TargetState{
 			Target: t.endpoint.ID, Address: t.endpoint.Address, Running: t.running, Long: t.long,
-			Capacity: s.targetCapacity(now, t), Leaving: t.leaving,
+			Capacity: s.targetCapacity(now, t), Leaving: s.leaving(now, t),
 			Why: s.why(now, t), Health: s.health.TargetState(t.endpoint.ID), Sick: t.failureProbability(now),
 		})
 	}
@@ -49,7 +49,7 @@
 	switch {
 	case t.leaving:
 		return "the target is leaving"
-	case said.Wait > 0:
+	case !said.Allowed():
 		return said.String()
 	case now.Before(t.backoffUntil):
 		return "the last connection failed; waiting before the next attempt"
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -169,16 +169,6 @@
 // counts as serving again, because health endpoints lag.
 const servingDelay = 15 * time.Second
 
-// markServing records that the health endpoint showed no sign of leaving, and
-// reports whether the target returns to service.
-func (t *target) markServing(now time.Time) bool {
-	if !t.leaving || t.endpoint.Leaving || now.Sub(t.lastLeavingSign) < servingDelay {
-		return false
-	}
-	t.leaving, t.warmupStart = false, now
-	return true
-}
-
 // startBackoff excludes the target after a failed connection; each consecutive
 // failure doubles the time.
 func (t *target) startBackoff(now time.Time) {
--- a/statement/notice.go
+++ b/statement/notice.go
@@ -8,36 +8,76 @@
 	"github.com/briarrouter/briarrouter/unit"
 )
 
-// Notice is the message to a peer about a target's limit. It refreshes the limit at
+// LeavingNotice is the message to a peer about a target that said that it is leaving. A
+// daemon that begins to send to the target's service then knows of it.
+type LeavingNotice struct {
+	Process Process
+	// Age is the time since the target is known to have said so first. It is not a point
+	// in time because the clocks of peers are not synchronized.
+	Age time.Duration
+}
+
+// leavingNoticeTime is how long peers are told of a target that is leaving.
+const leavingNoticeTime = 10 * time.Second
+
+// LimitNotice is the message to a peer about a target's limit. It refreshes the limit at
 // daemons that send the target nothing, and spares the others the request by which
 // they would learn of it.
-type Notice struct {
+type LimitNotice struct {
 	Process Process
 	Limit   unit.PerSecond
-	// Age is the time since the target was last known to name the limit. It is not a
-	// point in time because the clocks of peers are not synchronized.
+	// Age is the time since the target was last known to name the limit.
 	Age time.Duration
 }
 
-// Notices returns notices of at most n limits that are in force, the latest first.
-func (t *Table) Notices(now time.Time, n int) []Notice {
+// LeavingNotices returns notices of at most n targets that are leaving, the latest
+// first.
+func (t *Table) LeavingNotices(now time.Time, n int) []LeavingNotice {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var list []Notice
+	var list []LeavingNotice
+	for p, r := range t.records {
+		if age := now.Sub(r.leavingSince); r.leaving(now) && age < leavingNoticeTime {
+			list = append(list, LeavingNotice{Process: p, Age: age})
+		}
+	}
+	slices.SortFunc(list, func(a, b LeavingNotice) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), a.Process.compare(b.Process))
+	})
+	return list[:min(n, len(list))]
+}
+
+// LearnLeaving applies the notices of a peer. Notices older than leavingNoticeTime are
+// ignored.
+func (t *Table) LearnLeaving(now time.Time, notices []LeavingNotice) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, n := range notices {
+		if n.Age >= 0 && n.Age < leavingNoticeTime {
+			t.setLeaving(now, now.Add(-n.Age), n.Process)
+		}
+	}
+}
+
+// LimitNotices returns notices of at most n limits that are in force, the latest first.
+func (t *Table) LimitNotices(now time.Time, n int) []LimitNotice {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []LimitNotice
 	for p, r := range t.records {
 		if r.limited(now) {
-			list = append(list, Notice{Process: p, Limit: r.limit, Age: now.Sub(r.limitNamedAt)})
+			list = append(list, LimitNotice{Process: p, Limit: r.limit, Age: now.Sub(r.limitNamedAt)})
 		}
 	}
-	slices.SortFunc(list, func(a, b Notice) int {
-		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Process.Target, b.Process.Target), cmp.Compare(a.Process.Incarnation, b.Process.Incarnation))
+	slices.SortFunc(list, func(a, b LimitNotice) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), a.Process.compare(b.Process))
 	})
 	return list[:min(n, len(list))]
 }
 
-// Learn applies the notices of a peer. A notice from before the end of a limit that
-// this daemon heard of, or older than what it knows, is ignored.
-func (t *Table) Learn(now time.Time, notices []Notice) {
+// LearnLimits applies the notices of a peer. A notice from before the end of a limit
+// that this daemon heard of, or older than what it knows, is ignored.
+func (t *Table) LearnLimits(now time.Time, notices []LimitNotice) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, n := range notices {
@@ -49,3 +89,7 @@
 		}
 	}
 }
+
+func (p Process) compare(other Process) int {
+	return cmp.Or(cmp.Compare(p.Target, other.Target), cmp.Compare(p.Address, other.Address), cmp.Compare(p.Incarnation, other.Incarnation))
+}
--- a/statement/statement.go
+++ b/statement/statement.go
@@ -1,6 +1,8 @@
 // Package statement keeps what targets say of themselves in their responses, and
 // decides whether a request may be sent to a target that said something. A target
-// may name a limit: the rate of requests that it takes from the whole fleet.
+// may say that it is leaving, that it wants no requests of this daemon for some time,
+// and which rate of requests it takes from the whole fleet, its limit. Daemons tell
+// each other of targets that leave and of limits.
 package statement
 
 import (
@@ -23,12 +25,23 @@
 
 // Statement is what one response says of its target.
 type Statement struct {
+	// Leaving means that the target is leaving.
+	Leaving bool
+	// Backoff is how long the target wants no requests of this daemon; zero if it says
+	// nothing of the kind.
+	Backoff time.Duration
 	// Limited means that the target names a limit.
 	Limited bool
 	Limit   unit.PerSecond
 }
 
 const (
+	// leavingTTL is how long a target counts as leaving after it last said so. It is
+	// longer than targets take to leave.
+	leavingTTL = 10 * time.Minute
+	// maxBackoff limits what a target can ask for. After that time, one response shows
+	// whether it still holds.
+	maxBackoff = time.Hour
 	// limitTTL is how long at least a limit holds after the target was last known to name
 	// it. A daemon that sends the target no requests learns only from peers that the
 	// limit still holds, and not at all that it has ended. Each daemon adds up to as much
@@ -44,6 +57,11 @@
 
 // record is what is known of one process.
 type record struct {
+	// leavingSince and leavingSaidAt are when the target is known to have said first and
+	// last that it is leaving; zero if it did not.
+	leavingSince, leavingSaidAt time.Time
+	// backoffUntil is the end of the time in which the target wants no requests.
+	backoffUntil time.Time
 	// limit is in force until ttl after limitNamedAt, the latest time at which the target
 	// is known to have named it; limitNamedAt is zero if none is in force.
 	limit        unit.PerSecond
@@ -79,24 +97,86 @@
 	t.senders = s
 }
 
+// Change tells what a statement changed.
+type Change struct {
+	// Leaving means that the target was not known to be leaving.
+	Leaving bool
+	// Backoff means that the target is sent no requests for some time from now on.
+	Backoff bool
+	// Limit means that a limit begins or ends.
+	Limit bool
+}
+
 // Record applies what a response says of its target. SentAt is when the request was
 // sent: a response to a request that was sent before the target named its limit does
-// not end the limit. Record reports whether a limit begins or ends.
-func (t *Table) Record(now, sentAt time.Time, p Process, s Statement) bool {
+// not end the limit.
+func (t *Table) Record(now, sentAt time.Time, p Process, s Statement) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var c Change
+	if s.Leaving {
+		c.Leaving = t.setLeaving(now, now, p)
+	}
+	if s.Backoff > 0 {
+		c.Backoff = t.setBackoff(now, now.Add(min(s.Backoff, maxBackoff)), p)
+	}
 	r := t.records[p]
 	inForce := r != nil && r.limited(now)
 	switch {
 	case s.Limited:
 		t.setLimit(now, now, p, s.Limit)
-		return !inForce
+		c.Limit = !inForce
 	case inForce && sentAt.After(r.limitNamedAt):
 		r.limitNamedAt, r.limitEndedAt = time.Time{}, now
-		return true
-	default:
+		c.Limit = true
+	}
+	return c
+}
+
+// setLeaving records that a target said at a time that it is leaving, and reports
+// whether this is new.
+func (t *Table) setLeaving(now, saidAt time.Time, p Process) bool {
+	r := t.getOrCreate(now, p)
+	if r == nil {
 		return false
 	}
+	known := r.leaving(now)
+	if !known {
+		r.leavingSince = saidAt
+	}
+	r.leavingSaidAt = latest(r.leavingSaidAt, saidAt)
+	return !known
+}
+
+// setBackoff reports whether the target was not backed off from.
+func (t *Table) setBackoff(now, until time.Time, p Process) bool {
+	r := t.getOrCreate(now, p)
+	if r == nil {
+		return false
+	}
+	known := now.Before(r.backoffUntil)
+	r.backoffUntil = latest(r.backoffUntil, until)
+	return !known
+}
+
+// LeavingSaidAt returns when a target is last known to have said that it is leaving;
+// zero if it did not, or long ago.
+func (t *Table) LeavingSaidAt(now time.Time, p Process) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.records[p]; r != nil && r.leaving(now) {
+		return r.leavingSaidAt
+	}
+	return time.Time{}
+}
+
+// Stay records that a target that said that it is leaving serves on.
+func (t *Table) Stay(p Process) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.records[p]; r != nil {
+		r.leavingSince, r.leavingSaidAt = time.Time{}, time.Time{}
+	}
 }
 
 // setLimit sets the limit that a target named at a time.
@@ -136,19 +216,25 @@
 func (t *Table) expire(now time.Time) {
 	t.expiredAt = now
 	for p, r := range t.records {
-		if !r.limited(now) && now.Sub(r.limitEndedAt) >= limitTTL {
+		if !r.leaving(now) && !now.Before(r.backoffUntil) && !r.limited(now) && now.Sub(r.limitEndedAt) >= limitTTL {
 			delete(t.records, p)
 		}
 	}
 	t.count.Store(int64(len(t.records)))
 }
 
+func (r *record) leaving(now time.Time) bool {
+	return !r.leavingSaidAt.IsZero() && now.Sub(r.leavingSaidAt) < leavingTTL
+}
+
 func (r *record) limited(now time.Time) bool {
 	return !r.limitNamedAt.IsZero() && now.Sub(r.limitNamedAt) < r.ttl
 }
 
-// Verdict tells when a target may be sent the next request.
+// Verdict tells whether a target may be sent a request.
 type Verdict struct {
+	// Leaving means that the target may be sent no request any more.
+	Leaving bool
 	// Wait is how long no request may be sent; zero if one may be sent now.
 	Wait time.Duration
 	// Limited means that a limit is in force, and Limit is it.
@@ -156,14 +242,27 @@
 	Limit   unit.PerSecond
 	// Share is the part of the limit that this daemon may use.
 	Share unit.PerSecond
-	// Age is the time since the target was last known to name the limit.
+	// Age is the time since the target was last known to say that it is leaving, or to
+	// name the limit.
 	Age time.Duration
 }
 
-// String describes why no request may be sent, for operators.
+// Allowed reports whether a request may be sent now.
+func (v Verdict) Allowed() bool { return !v.Leaving && v.Wait == 0 }
+
+// String describes for operators which statement keeps requests away.
 func (v Verdict) String() string {
-	return fmt.Sprintf("limit of %.3g requests/s named %s ago, of which this daemon sends %.3g; next request in %s",
-		float64(v.Limit), v.Age.Round(time.Millisecond), float64(v.Share), v.Wait.Round(time.Millisecond))
+	switch {
+	case v.Leaving:
+		return fmt.Sprintf("the target said %s ago that it is leaving", v.Age.Round(time.Millisecond))
+	case v.Limited:
+		return fmt.Sprintf("the target named a limit of %.3g requests/s %s ago, of which this daemon sends %.3g; next request in %s",
+			float64(v.Limit), v.Age.Round(time.Millisecond), float64(v.Share), v.Wait.Round(time.Millisecond))
+	case v.Wait > 0:
+		return fmt.Sprintf("the target wants no requests for %s", v.Wait.Round(time.Millisecond))
+	default:
+		return ""
+	}
 }
 
 // Verdict returns what the statements of a process allow now.
@@ -174,16 +273,22 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[p]
-	if r == nil || !r.limited(now) {
+	switch {
+	case r == nil:
 		return Verdict{}
+	case r.leaving(now):
+		return Verdict{Leaving: true, Age: now.Sub(r.leavingSaidAt)}
 	}
-	v := Verdict{Limited: true, Limit: r.limit, Age: now.Sub(r.limitNamedAt)}
-	next := r.nextSend
-	var sender bool
-	if v.Share, sender = t.senders.share(p, r.limit); !sender {
-		next = r.limitNamedAt.Add(r.ttl)
+	v := Verdict{Wait: max(0, r.backoffUntil.Sub(now))}
+	if r.limited(now) {
+		v.Limited, v.Limit, v.Age = true, r.limit, now.Sub(r.limitNamedAt)
+		next := r.nextSend
+		var sender bool
+		if v.Share, sender = t.senders.share(p, r.limit); !sender {
+			next = r.limitNamedAt.Add(r.ttl)
+		}
+		v.Wait = max(v.Wait, next.Sub(now))
 	}
-	v.Wait = max(0, next.Sub(now))
 	return v
 }
 
@@ -214,10 +319,24 @@
 type State struct {
 	// Processes is the number of processes of which something is known.
 	Processes int
+	// Leaving, BackedOff and Limited count those of them with each statement in force.
+	Leaving, BackedOff, Limited int
 }
 
-func (t *Table) State() State {
+func (t *Table) State(now time.Time) State {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return State{Processes: len(t.records)}
+	st := State{Processes: len(t.records)}
+	for _, r := range t.records {
+		if r.leaving(now) {
+			st.Leaving++
+		}
+		if now.Before(r.backoffUntil) {
+			st.BackedOff++
+		}
+		if r.limited(now) {
+			st.Limited++
+		}
+	}
+	return st
 }
--- a/statement/statement_test.go
+++ b/statement/statement_test.go
@@ -35,6 +35,8 @@
 //	hear DAEMON TARGET WORD... [sent=DURATION]  a response; the request was sent that long ago
 //	may DAEMON TARGET             show the verdict
 //	send DAEMON TARGET            send a request
+//	stay DAEMON TARGET            the target serves on
+//	state DAEMON TARGET           show the counts of all targets
 //	tell DAEMON DAEMON            pass the notices on
 //	wait DURATION
 func (s *script) execute(w []string) string {
@@ -48,7 +50,8 @@
 		}
 		return ""
 	case "tell":
-		s.tables[w[2]].Learn(now, s.tables[w[1]].Notices(now, 8))
+		s.tables[w[2]].LearnLeaving(now, s.tables[w[1]].LeavingNotices(now, 8))
+		s.tables[w[2]].LearnLimits(now, s.tables[w[1]].LimitNotices(now, 8))
 		return ""
 	}
 	t, p := s.tables[w[1]], process(w[2])
@@ -61,18 +64,27 @@
 			case "limit":
 				n, _ := strconv.ParseFloat(value, 64)
 				st.Limited, st.Limit = true, unit.PerSecond(n)
+			case "leaving":
+				st.Leaving = true
+			case "backoff":
+				st.Backoff, _ = time.ParseDuration(value)
 			case "sent":
 				d, _ := time.ParseDuration(value)
 				sent = now.Add(-d)
 			}
 		}
-		return fmt.Sprint("changed ", t.Record(now, sent, p, st))
+		return fmt.Sprintf("%+v", t.Record(now, sent, p, st))
 	case "send":
 		t.RecordSent(now, p)
 		return ""
 	case "may":
 		v := t.Verdict(now, p)
-		return fmt.Sprintf("wait %s, limit %v, share %.2g, age %s", v.Wait.Round(time.Millisecond), v.Limit, float64(v.Share), v.Age)
+		return fmt.Sprintf("allowed %t, wait %s, share %.2g; %s", v.Allowed(), v.Wait.Round(time.Millisecond), float64(v.Share), v)
+	case "stay":
+		t.Stay(p)
+		return ""
+	case "state":
+		return fmt.Sprintf("%+v", t.State(now))
 	default:
 		return "unknown command"
 	}
@@ -171,8 +183,8 @@
 		for i, table := range tables {
 			if talk && now.Sub(playStart)%(500*time.Millisecond) == 0 {
 				other := random.IntN(daemons)
-				tables[other].Learn(now, table.Notices(now, 8))
-				table.Learn(now, tables[other].Notices(now, 8))
+				tables[other].LearnLimits(now, table.LimitNotices(now, 8))
+				table.LearnLimits(now, tables[other].LimitNotices(now, 8))
 			}
 			if i >= len(names) && random.IntN(200) > 0 {
 				continue
