FLOOR: one estimate of sound targets, with a margin by their number

A target that failed by itself is sound again after two seconds, not six.

Change: the estimate is the probability itself for all requests, and the expected number of sound targets without a request stays one standard deviation below what the platform allows, three for idempotent requests.

--- a/dispatch/log.go
+++ b/dispatch/log.go
@@ -68,9 +68,7 @@
 		Float64("Sound", c.Sound).
 		Float64("Covered", c.Covered).
 		Float64("Required", c.Required).
-		Float64("Healthy", c.Healthy).
-		Float64("Tested", c.Tested).
-		Float64("TestRequired", c.TestRequired).
+		Float64("IdempotentRequired", c.IdempotentRequired).
 		Int("Arrived", c.Arrived).
 		Int("Ended", c.Ended).
 		Int("Unserved", c.Unserved).
--- a/schedule/coverage.go
+++ b/schedule/coverage.go
@@ -18,14 +18,9 @@
 	// Sound is the expected number of sound targets (see target.soundProbability),
 	// Covered that of the sound targets among Used.
 	Sound, Covered float64
-	// Required is what Covered must be at least; zero if coverage is not kept.
-	Required float64
-	// Healthy is the expected number of targets that are healthy now (see
-	// target.healthyProbability), Tested that of the healthy targets among Used.
-	Healthy, Tested float64
-	// TestRequired is what Tested must be at least by idempotent requests, which can be
-	// retried elsewhere; zero if there are too few of them.
-	TestRequired float64
+	// Required is what Covered must be at least, whatever request it takes; zero if there
+	// are too few requests. IdempotentRequired is the same for idempotent requests.
+	Required, IdempotentRequired float64
 	// Arrived, Ended and Unserved count this daemon's requests of the last two
 	// seconds; see Scheduler.RecordServed.
 	Arrived, Ended, Unserved int
@@ -45,39 +40,45 @@
 		c.Targets++
 		c.Used += boolToInt(used)
 		c.Failed += boolToInt(now.Sub(t.lastFailed) < failedWindow)
-		healthy := t.healthyProbability(now)
 		c.Sound += sound
-		c.Healthy += healthy
 		if used {
 			c.Covered += sound
-			c.Tested += healthy
 		}
 	}
 	recent := s.requests.sum(now)
 	c.Arrived, c.Ended, c.Unserved = recent.arrived, recent.ended, recent.unserved
 	c.Running = len(s.granted)
-	required := (1 - spreadSlack*(1-float64(s.policy.Spread))) * c.Sound
-	if s.policy.Spread > 0 && required <= spreadMaxTraffic*float64(recent.arrived*s.replicas) {
-		c.Required = required
-	}
-	required = c.Healthy - maxUncovered((1-float64(s.policy.Spread))*c.Healthy)
-	// A platform takes a target that failed by itself for sound two seconds later, so
-	// that one which fails most of its requests counts again once it gets none.
-	if s.policy.Spread > 0 && required <= spreadMaxTraffic*float64(recent.idempotent*s.replicas) {
-		c.TestRequired = required
+	if s.policy.Spread > 0 {
+		c.Required = s.required(c.Sound, coverageDeviations, recent.arrived)
+		c.IdempotentRequired = s.required(c.Sound, idempotentCoverageDeviations, recent.idempotent)
 	}
 	return c
 }
 
-// coverageDeviations is by how many standard deviations the expected number of healthy
-// targets without a request stays below the number that a platform allows. Which of the
-// targets are healthy is chance, and of a few targets it decides.
-const coverageDeviations = 3
+// required returns the expected number of sound targets that must be covered, by a
+// number of this daemon's requests of the last two seconds; zero if they do not suffice.
+func (s *Scheduler) required(sound, deviations float64, requests int) float64 {
+	required := sound - maxUncovered((1-float64(s.policy.Spread))*sound, deviations)
+	if required > spreadMaxTraffic*float64(requests*s.replicas) {
+		return 0
+	}
+	return required
+}
+
+const (
+	// coverageDeviations is by how many standard deviations the expected number of sound
+	// targets without a request stays below the number that a platform allows. Which of
+	// the targets are sound is chance, and of few targets it decides.
+	coverageDeviations = 1
+	// idempotentCoverageDeviations is the same for idempotent requests, which can be
+	// retried elsewhere if the target fails.
+	idempotentCoverageDeviations = 3
+)
 
-// maxUncovered returns the largest expected number of events that stays below a number
-// by coverageDeviations, if the events are rare and independent (Poisson).
-func maxUncovered(allowed float64) float64 {
-	const z = coverageDeviations
-	root := (math.Sqrt(z*z+4*allowed) - z) / 2
+// maxUncovered returns the largest expected number of events that stays a number of
+// standard deviations below what is allowed, if the events are rare and independent
+// (Poisson).
+func maxUncovered(allowed, deviations float64) float64 {
+	root := (math.Sqrt(deviations*deviations+4*allowed) - deviations) / 2
 	return root * root
 }
--- a/schedule/spread.go
+++ b/schedule/spread.go
@@ -11,10 +11,6 @@
 	// shorter than the 2 s for which platforms leave the target out, so that a request
 	// reaches it before they count it again.
 	failedWindow = 1800 * time.Millisecond
-	// spreadSlack is how much of the share of sound targets that may go without
-	// requests is made use of. The sound targets of a platform may be few, and this
-	// daemon does not know which they are.
-	spreadSlack = 1.0 / 3
 	// spreadMaxTraffic is the largest share of a service's requests that may be
 	// needed for coverage. If more would be needed, coverage is not attempted: a
 	// service with little traffic cannot reach all of its targets in time.
@@ -72,9 +68,11 @@
 		return nil
 	}
 	c := s.Coverage(now)
-	switch {
-	case job.Route.Idempotent && c.Tested < c.TestRequired:
-	case c.Covered >= c.Required, !job.Route.Idempotent && s.idempotentSuffice(now, c):
+	required := c.Required
+	if job.Route.Idempotent {
+		required = max(c.Required, c.IdempotentRequired)
+	}
+	if c.Covered >= required || !job.Route.Idempotent && s.idempotentSuffice(now, c) {
 		return nil
 	}
 	var best *target
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -125,21 +125,9 @@
 	return p
 }
 
-// soundProbability returns the probability that the target is sound: that no
-// request failed on it within failedWindow, and that it is healthy now and has been
-// for the seconds for which platforms discount a target after a disruption. The
-// failure probability stands for both of these.
+// soundProbability returns the probability that the target is sound: that no request
+// failed on it within failedWindow, and that it is healthy now.
 func (t *target) soundProbability(now time.Time) float64 {
-	if now.Sub(t.lastFailed) < failedWindow {
-		return 0
-	}
-	healthy := t.healthyProbability(now)
-	return healthy * healthy
-}
-
-// healthyProbability returns the probability that the target is healthy now; zero if a
-// request failed on it within failedWindow.
-func (t *target) healthyProbability(now time.Time) float64 {
 	if now.Sub(t.lastFailed) < failedWindow {
 		return 0
 	}
