soak: targets leave, refuse and name limits, and the checks see what they then get

Purpose: the promise StatementsKept, checked from what targets see. A process that passed on that a target is leaving sends it nothing that a caller sent 2.5 s later, at any moment and whatever faults there are; one that passed on a refusal with Retry-After sends two requests at most until then; the sum of the processes that heard of a limit stays within one and a half times it and five requests in four seconds.

Change: platformtest's targets make all three statements; in each period without faults one target names a limit of 0.1 to 2.1 a second or refuses with Retry-After, drawn from a generator of its own, so that older seeds replay the same faults.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -93,7 +93,8 @@
 	// assignments has one element for each published configuration, oldest first.
 	assignments []routeAssignment
 	// draining maps each draining target to when it began to drain.
-	draining map[id.Target]time.Time
+	draining   map[id.Target]time.Time
+	statements statementChecker
 }
 
 // routeAssignment is the service that a published configuration assigns the route
@@ -105,7 +106,7 @@
 }
 
 func newChecker(now time.Time, f *faultTracker) *checker {
-	return &checker{started: now, faults: f, requests: make(map[id.Request]*requestRecord), draining: make(map[id.Target]time.Time)}
+	return &checker{started: now, faults: f, requests: make(map[id.Request]*requestRecord), draining: make(map[id.Target]time.Time), statements: newStatementChecker()}
 }
 
 // maxViolations is the maximum number of violations that are kept. Later ones are
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -50,6 +50,8 @@
 //	send REQUEST idempotent|non-idempotent PATH DAEMON
 //	run REQUEST TARGET
 //	respond REQUEST STATUS [REQUEST whose response is sent instead]
+//	state REQUEST TARGET [leaving] [backoff=DURATION] [limit=N] (what a response says)
+//	arrive TARGET REQUEST...
 //	cut REQUEST (the connection is lost before the response)
 //	report
 func (s *checkerScript) execute(w []string) string {
@@ -79,6 +81,12 @@
 	case "run":
 		service, _, _ := strings.Cut(w[2], "-")
 		c.requestStarted(platformtest.Run{Request: id.Request(w[1]), Target: id.Target(w[2]), Service: id.Service(service), Path: s.calls[w[1]].Path})
+	case "state":
+		s.state(w)
+	case "arrive":
+		for _, request := range w[2:] {
+			c.requestArrived(platformtest.Run{Request: id.Request(request), Target: id.Target(w[1])})
+		}
 	case "respond":
 		s.respond(w)
 	case "cut":
@@ -93,6 +101,23 @@
 	return strings.Join(lines, "\n")
 }
 
+// state passes what a response says of its target to the checker.
+func (s *checkerScript) state(w []string) {
+	said := platformtest.Statement{Request: id.Request(w[1]), Target: id.Target(w[2])}
+	for _, word := range w[3:] {
+		key, value, _ := strings.Cut(word, "=")
+		switch key {
+		case "leaving":
+			said.Leaving = true
+		case "backoff":
+			said.Backoff, _ = time.ParseDuration(value)
+		case "limit":
+			fmt.Sscan(value, &said.Limit)
+		}
+	}
+	s.checker.statementMade(said)
+}
+
 // respond ends a request with its own response, or with that of another request
 // if the command names one.
 func (s *checkerScript) respond(w []string) {
--- a/soak/injector.go
+++ b/soak/injector.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"syscall"
 	"time"
@@ -17,6 +18,8 @@
 	soak *Soak
 	// injected counts the faults, but not the target crashes.
 	injected int
+	// statements draws what targets say.
+	statements *rand.Rand
 }
 
 // fault is one fault of a round. Everything that it draws from Soak.random is drawn
@@ -49,13 +52,30 @@
 	for time.Now().Before(until) && s.context.Err() == nil {
 		j.runRound()
 		clock.Sleep(s.context, settleTime)
+		stated := j.beginStatement()
 		for range actionsPerPeriod {
 			j.operatorAction()
 			clock.Sleep(s.context, faultFreePeriod/actionsPerPeriod)
 		}
+		stated.SetFaults(platformtest.Faults{})
 	}
 }
 
+// beginStatement makes a target refuse requests with Retry-After, or name a limit, and
+// returns the target. It draws from a generator of its own, so that the faults of older
+// seeds stay the same.
+func (j *injector) beginStatement() *target {
+	s := j.soak
+	t := s.targets[j.statements.IntN(len(s.targets))]
+	f := platformtest.Faults{Limit: math.Round(1 + 20*j.statements.Float64()) / 10}
+	if j.statements.IntN(2) == 0 {
+		f = platformtest.Faults{Refusing: 0.3, Backoff: time.Second + time.Duration(j.statements.Int64N(int64(faultFreePeriod)))}
+	}
+	s.logf("target %s states %+v", t.registration.ID, f)
+	t.SetFaults(f)
+	return t
+}
+
 // runRound runs overlapping faults and at most one operator action or target crash
 // alongside them, then starts the daemons that are down and waits until each is
 // ready, at most readyTimeout. The fault tracker counts the whole round as one
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -118,7 +118,7 @@
 		c := &caller{soak: s, random: rand.New(rand.NewPCG(s.cfg.Seed, uint64(100+n))), domain: domains[n%len(domains)]}
 		s.group.Go(c.run)
 	}
-	j := &injector{soak: s}
+	j := &injector{soak: s, statements: rand.New(rand.NewPCG(s.cfg.Seed, 9))}
 	j.run()
 	clock.Sleep(s.context, finalPeriod)
 	return s.buildReport(j.injected), ctx.Err()
--- a/soak/target.go
+++ b/soak/target.go
@@ -27,7 +27,8 @@
 	s.targetsStarted++
 	name := id.Target(fmt.Sprintf("%s-%03d", service, s.targetsStarted))
 	t, err := platformtest.NewTarget(platformtest.TargetConfig{
-		ID: name, Service: service, Slots: targetSlots, MeanDuration: targetServiceTime, OnRun: s.checker.requestStarted, Seed: s.cfg.Seed + uint64(s.targetsStarted),
+		ID: name, Service: service, Slots: targetSlots, MeanDuration: targetServiceTime, OnArrive: s.checker.requestArrived, OnRun: s.checker.requestStarted, OnStatement: s.checker.statementMade,
+		Seed: s.cfg.Seed + uint64(s.targetsStarted),
 	})
 	if err != nil {
 		return err
