statement: reject most notices by one comparison

Change: a notice that is not among the latest is dropped after one comparison. The notices are the same.

--- a/statement/notice.go
+++ b/statement/notice.go
@@ -99,10 +99,10 @@
 // first, and drops the last one of a longer list. A fleet in need has thousands of
 // notices, of which a message takes a few.
 func insertLatest[T notice[T]](list []T, added T, n int) []T {
-	i, _ := slices.BinarySearchFunc(list, added, func(a, b T) int { return a.compare(b) })
-	if i >= n {
+	if len(list) >= n && added.compare(list[len(list)-1]) >= 0 {
 		return list
 	}
+	i, _ := slices.BinarySearchFunc(list, added, func(a, b T) int { return a.compare(b) })
 	list = slices.Insert(list, i, added)
 	return list[:min(n, len(list))]
 }
