inifile: a list of addresses with an empty element is refused

Change: each element must be an address; the problem names file, section, key and what is accepted, as for any other.

--- a/inifile/inifile.go
+++ b/inifile/inifile.go
@@ -391,9 +391,13 @@
 // commas.
 func (s *Section) Addresses(key string) []id.Address {
 	var list []id.Address
-	for _, v := range strings.Split(s.Text(key, acceptedAddress+", more than one separated by commas"), ",") {
+	text := s.Text(key, acceptedAddress+", more than one separated by commas")
+	if text == "" {
+		return nil
+	}
+	for _, v := range strings.Split(text, ",") {
 		v = strings.TrimSpace(v)
-		if v != "" && !validAddress(v) {
+		if !validAddress(v) {
 			s.Problem(key, fmt.Sprintf("bad address %q", v), acceptedAddress)
 		}
 		list = append(list, id.Address(v))
