registry: an empty configuration document after an empty one is no fault

The adapter skips empty documents and the feed cannot carry one, so that no daemon met it.

Change: documents without content are the same one.

Measured: TestEmptyConfigurationPublished panicked before.

--- a/registry/registry.go
+++ b/registry/registry.go
@@ -296,9 +296,7 @@
 		}
 		r.mu.Unlock()
 	}
-	// Each document that is received has its own memory, so a different address
-	// means a new document.
-	if document != nil && (before == nil || &before[0] != &document[0]) {
+	if document != nil && (before == nil || !sameDocument(before, document)) {
 		r.offer(document)
 	}
 	for _, s := range slices.Sorted(maps.Keys(services)) {
@@ -329,6 +327,13 @@
 	}
 }
 
+// sameDocument reports whether two documents are the same one. Each document that is
+// received has its own memory, so a different address means a new document; one without
+// content has no address.
+func sameDocument(a, b []byte) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 func (r *Registry) offer(document []byte) {
 	docs, err := r.store.Collect(document, func(id.Service) ([]byte, error) {
 		return nil, errors.New("the index names services whose values are separate documents, which the platform does not publish")
