publication: no busy loop without an entity tag; failed polls are logged

The first of several failed calls is logged with its cause, and the call that ends them with their number, in the words that the users' platform has in the log.

--- a/publication/client.go
+++ b/publication/client.go
@@ -17,6 +17,7 @@
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/message"
 	"github.com/briarrouter/briarrouter/unit"
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 )
 
@@ -68,6 +69,7 @@
 // Client reads values from the platform. After a failed call it switches to the
 // next address.
 type Client struct {
+	log       zerolog.Logger
 	addresses []id.Address
 	http      *http.Client
 	// failovers counts the switches to the next address. Modulo the number of
@@ -79,13 +81,13 @@
 
 // NewClient returns a client for the given addresses; there must be at least
 // one.
-func NewClient(addresses []id.Address) *Client {
-	return newClient(addresses, http.DefaultTransport.(*http.Transport).Clone())
+func NewClient(addresses []id.Address, log zerolog.Logger) *Client {
+	return newClient(addresses, log, http.DefaultTransport.(*http.Transport).Clone())
 }
 
-func newClient(addresses []id.Address, transport *http.Transport) *Client {
+func newClient(addresses []id.Address, log zerolog.Logger, transport *http.Transport) *Client {
 	limits := message.ResponseLimits{Header: maxHeader, Body: MaxValueSize}
-	return &Client{addresses: addresses, http: &http.Client{
+	return &Client{log: log, addresses: addresses, http: &http.Client{
 		Transport: message.LimitResponses(transport, limits),
 		Timeout:   waitSeconds*time.Second + callTimeout,
 	}}
@@ -151,7 +153,8 @@
 // Watch calls apply with the current version of a value and after each change
 // until ctx ends. Versions that are replaced while apply runs or between two
 // polls are skipped. A failed call is repeated after a delay. If apply fails, it
-// is called again after a delay with the version that is current then.
+// is called again after a delay with the version that is current then. A value
+// without an entity tag cannot be awaited; it is read every maxRetryDelay.
 func (c *Client) Watch(ctx context.Context, group *conc.WaitGroup, key Key, apply func(context.Context, []byte) error) {
 	w := &watch{client: c, key: key, apply: apply}
 	group.Go(func() { w.run(ctx) })
@@ -162,12 +165,15 @@
 	client *Client
 	key    Key
 	apply  func(context.Context, []byte) error
+	// failures counts consecutive failed calls.
+	failures int
 }
 
 func (w *watch) run(ctx context.Context) {
 	etag, delay := "", initialRetryDelay
 	for ctx.Err() == nil {
 		v, err := w.client.Await(ctx, w.key, etag)
+		w.logResult(ctx, err)
 		if err == nil {
 			err = w.apply(ctx, v.Data)
 		}
@@ -178,12 +184,31 @@
 			delay = min(2*delay, maxRetryDelay)
 			continue
 		default:
-			etag = v.ETag
+			if etag = v.ETag; etag == "" {
+				clock.Sleep(ctx, maxRetryDelay)
+			}
 		}
 		delay = initialRetryDelay
 	}
 }
 
+// logResult logs the first of several failed calls, and the call that ends them.
+func (w *watch) logResult(ctx context.Context, err error) {
+	log := w.client.log.With().Str("Key", string(w.key)).Int("Failures", w.failures).Logger()
+	switch {
+	case ctx.Err() != nil:
+	case err == nil || errors.Is(err, ErrUnchanged):
+		if w.failures > 0 {
+			log.Info().Msg("platform answers again")
+		}
+		w.failures = 0
+	default:
+		if w.failures++; w.failures == 1 {
+			log.Warn().Err(err).Msg("platform does not answer")
+		}
+	}
+}
+
 // ClientState is the client's part of a dump.
 type ClientState struct {
 	Addresses []id.Address
--- a/publication/endless_test.go
+++ b/publication/endless_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/scripttest"
+	"github.com/rs/zerolog"
 	"github.com/sebdah/goldie/v2"
 )
 
@@ -17,7 +18,7 @@
 	transcript := scripttest.EndlessTranscript(t, scripttest.EndlessResponses, maxSent, func(t *testing.T, server *scripttest.EndlessServer) string {
 		transport := &http.Transport{DialContext: server.Dial}
 		defer transport.CloseIdleConnections()
-		client := newClient([]id.Address{"platform"}, transport)
+		client := newClient([]id.Address{"platform"}, zerolog.Nop(), transport)
 		_, getErr := client.Get(t.Context(), IndexKey)
 		_, awaitErr := client.Await(t.Context(), IndexKey, "1")
 		return fmt.Sprintf("  get: %v\n  await: %v\n", getErr, awaitErr)
--- a/publication/reader.go
+++ b/publication/reader.go
@@ -56,7 +56,7 @@
 
 // NewReader returns a reader that does not watch the platform yet.
 func NewReader(cfg Config) *Reader {
-	return &Reader{client: NewClient(cfg.Addresses), log: cfg.Log, targetLists: make(map[id.Service][]byte)}
+	return &Reader{client: NewClient(cfg.Addresses, cfg.Log), log: cfg.Log, targetLists: make(map[id.Service][]byte)}
 }
 
 // Start starts watching the configuration and the list of daemons.
