--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -53,9 +53,6 @@
 	// Size is the length of the whole body, or -1 if unknown. For a HEAD request,
 	// it is the Content-Length that the response states.
 	Size unit.Bytes
-	// TimeToHeader is the time from the first byte of the request to the end of
-	// the response's header section.
-	TimeToHeader time.Duration
 	// Idle is how long the connection had been idle; negative for a new one.
 	Idle time.Duration
 	// release returns the memory of Buffered; nil if there is none to return.
@@ -122,7 +119,6 @@
 
 func (x *activeExchange) run(call Call) Reply {
 	x.conn.begin(x.pool.cfg.HeaderLimit)
-	started := time.Now()
 	send := newSender(x.conn, call)
 	send.start()
 	if err := send.writeError(); err != nil && x.conn.written.Load() == 0 {
@@ -143,7 +139,7 @@
 	if call.EchoHeader != "" && !success(resp.StatusCode) && !x.conn.recordUnserved(call.Echo, resp.Header.Get(call.EchoHeader) != "") {
 		x.mustClose = true
 	}
-	reply := Reply{Status: resp.StatusCode, Header: resp.Header, Size: unit.Bytes(resp.ContentLength), TimeToHeader: time.Since(started)}
+	reply := Reply{Status: resp.StatusCode, Header: resp.Header, Size: unit.Bytes(resp.ContentLength)}
 	x.mustClose = x.mustClose || resp.Close || incomplete || send.err != nil
 	if !x.conn.readKeepAlive(resp.Header) {
 		x.mustClose = true
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -131,7 +131,6 @@
 	// probes.
 	gossipLimiter *rate.Limiter
 	started       time.Time
-	leaving       bool
 }
 
 // New returns a Service that knows no peers yet.
@@ -276,7 +275,6 @@
 func (s *Service) Leave() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leaving = true
 	s.table.SetState(roster.Leaving)
 	s.notifyRandomPeers(leaveFanout)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -381,7 +381,7 @@
 
 // AddressesForCallers returns the addresses of the replicas: the daemons that callers
 // of every service and in every failure domain are directed to.
-func (r *Router) AddressesForCallers(id.FailureDomain) []id.Address {
+func (r *Router) AddressesForCallers() []id.Address {
 	var list []id.Address
 	for _, m := range r.rankings.replicaList(r.peers) {
 		list = append(list, m.Callers)
--- a/work/work.go
+++ b/work/work.go
@@ -112,7 +112,6 @@
 	TooManyHops       Reason = "too-many-hops"
 	MemoryLimit       Reason = "memory-limit"
 	RequestTooLarge   Reason = "request-too-large"
-	ServiceNotStarted Reason = "starting"
 )
 
 // Response is the response to a request. Whoever writes it to its receiver calls
