--- a/registry/registry.go
+++ b/registry/registry.go
@@ -304,16 +304,6 @@
 	}
 }
 
-// withoutConfigurations returns the updates without the documents of configurations.
-// The feed would otherwise hold as many large documents as it has room for updates.
-func withoutConfigurations(updates []Update) []Update {
-	list := slices.Clone(updates)
-	for i := range list {
-		list[i].Configuration = nil
-	}
-	return list
-}
-
 func (r *Registry) logUpdate(u Update) {
 	event := r.cfg.Log.Info().Uint64("Revision", uint64(u.Revision))
 	switch {
@@ -327,24 +317,6 @@
 	}
 }
 
-// sameDocument reports whether two documents are the same one. Each document that is
-// received has its own memory, so a different address means a new document; one without
-// content has no address.
-func sameDocument(a, b []byte) bool {
-	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
-}
-
-func (r *Registry) offer(document []byte) {
-	docs, err := r.store.Collect(document, func(id.Service) ([]byte, error) {
-		return nil, errors.New("the index names services whose values are separate documents, which the platform does not publish")
-	})
-	if err != nil {
-		r.cfg.Log.Error().Err(err).Msg("configuration cannot be read")
-		return
-	}
-	r.store.Offer(docs, "platform")
-}
-
 // notifyWatchers passes the targets of a service to its watchers.
 func (r *Registry) notifyWatchers(s id.Service) {
 	r.notifyMu.Lock()
--- a/registry/view.go
+++ b/registry/view.go
@@ -225,16 +225,6 @@
 	return l
 }
 
-// withNewestConfiguration replaces the updates of the configuration in a list by the
-// newest one.
-func (v *View) withNewestConfiguration(list []Update) []Update {
-	targets := slices.DeleteFunc(slices.Clone(list), func(u Update) bool { return u.Target == "" })
-	if len(targets) == len(list) {
-		return list
-	}
-	return append(targets, v.configuration)
-}
-
 // Configuration returns the newest configuration document, or nil.
 func (v *View) Configuration() []byte { return v.configuration.Configuration }
 
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -142,9 +142,6 @@
 // SetFailureDomain sets the failure domain of this daemon.
 func (s *Scheduler) SetFailureDomain(domain id.FailureDomain) { s.failureDomain = domain }
 
-// SetStatements sets what the targets say of themselves.
-func (s *Scheduler) SetStatements(t *statement.Table) { s.statements = t }
-
 // SetPolicy replaces the policy. Running and waiting jobs are kept.
 func (s *Scheduler) SetPolicy(policy *configuration.Service) {
 	s.policy = policy
@@ -215,29 +212,6 @@
 	return back
 }
 
-// leaving reports whether the target is leaving, by the platform's list or by its own
-// word.
-func (s *Scheduler) leaving(now time.Time, t *target) bool {
-	return t.leaving || s.statements.Verdict(now, t.endpoint.Process()).Leaving
-}
-
-// markServing records that the health endpoint showed no sign of leaving, and reports
-// whether the target returns to service.
-func (s *Scheduler) markServing(now time.Time, t *target) bool {
-	p := t.endpoint.Process()
-	said := s.statements.LeavingSaidAt(now, p)
-	lastSign := said
-	if t.leaving && t.lastLeavingSign.After(said) {
-		lastSign = t.lastLeavingSign
-	}
-	if lastSign.IsZero() || t.endpoint.Leaving || now.Sub(lastSign) < servingDelay {
-		return false
-	}
-	s.statements.Stay(p)
-	t.leaving, t.warmupStart = false, now
-	return true
-}
-
 // SetUnreachable records a failed connection to a target.
 func (s *Scheduler) SetUnreachable(now time.Time, name id.Target) {
 	for _, t := range s.targets {
@@ -277,14 +251,6 @@
 	return s.enqueue(now, job)
 }
 
-// noTargetRetryAfter is about the time in which a platform lists a new target.
-const noTargetRetryAfter = time.Second
-
-// anyStays reports whether there is a target that is not leaving.
-func (s *Scheduler) anyStays(now time.Time) bool {
-	return slices.ContainsFunc(s.targets, func(t *target) bool { return !s.leaving(now, t) })
-}
-
 func (s *Scheduler) refuse(reason work.Reason, after time.Duration) Decision {
 	s.counts.Refused++
 	return Decision{Kind: Refused, Reason: reason, RetryAfter: after}
@@ -325,34 +291,6 @@
 	return time.Duration(float64(ahead) * float64(s.serviceTime(job.Route.Name).mean()) / float64(slots))
 }
 
-// StatedWait returns how long the statements of the targets keep all requests waiting;
-// zero if they let some target be sent one now.
-func (s *Scheduler) StatedWait(now time.Time) time.Duration { return s.statedWait(now, 0) }
-
-// statedWait returns how long the statements of the targets keep a request waiting
-// behind a number of others; zero if they let some target be sent one now.
-func (s *Scheduler) statedWait(now time.Time, ahead int) time.Duration {
-	var first time.Duration
-	var rate unit.PerSecond
-	for _, t := range s.targets {
-		v := s.statements.Verdict(now, t.endpoint.Process())
-		if t.leaving || v.Leaving {
-			continue
-		}
-		if v.Wait == 0 {
-			return 0
-		}
-		if first == 0 || v.Wait < first {
-			first = v.Wait
-		}
-		rate += v.Share
-	}
-	if ahead > 0 && rate > 0 {
-		first += time.Duration(float64(ahead) / float64(rate) * float64(time.Second))
-	}
-	return first
-}
-
 // enqueue queues the job. If the queue is full, it evicts a job of the caller
 // that uses the service most relative to its share, or refuses the new job if its
 // own caller would be that one.
--- a/soak/injector.go
+++ b/soak/injector.go
@@ -67,7 +67,7 @@
 func (j *injector) beginStatement() *target {
 	s := j.soak
 	t := s.targets[j.statements.IntN(len(s.targets))]
-	f := platformtest.Faults{Limit: math.Round(1 + 20*j.statements.Float64()) / 10}
+	f := platformtest.Faults{Limit: math.Round(1+20*j.statements.Float64()) / 10}
 	if j.statements.IntN(2) == 0 {
 		f = platformtest.Faults{Refusing: 0.3, Backoff: time.Second + time.Duration(j.statements.Int64N(int64(faultFreePeriod)))}
 	}
