statement: a huge limit is divided alike on every processor

Cause: the conversion of limit/minShare to an integer is undefined beyond its range: one sender on x86-64, all on arm64.

Change: the comparison is made between floating-point numbers.

Measured: script limit has a limit of 1e300 (both senders share it) and one of nought (one of them tries it every two seconds). The x86-64 case was not run.

--- a/statement/senders.go
+++ b/statement/senders.go
@@ -31,7 +31,9 @@
 	if len(s.Hosts) == 0 {
 		return limit, true
 	}
-	n := min(len(s.Hosts), max(1, int(limit/minShare)))
+	// Compared as a number without a bound: the conversion of a huge limit to an integer
+	// differs between processors.
+	n := int(min(float64(len(s.Hosts)), max(1, float64(limit/minShare))))
 	if !slices.Contains(s.Hosts, s.Self) || n < len(s.Hosts) && s.rank(p) >= n {
 		return 0, false
 	}
