FLOOR: use at most six tenths of what may go without requests

Cause, suspected: with some 110 targets that this daemon takes for sound, a margin of one standard deviation lets 25 in 100 go without requests, which is under the 30 allowed; but the platform took 28 of them for sound, and of so few, nine are too many with a chance of about one in four.

Change: at most six tenths of the allowed part is used, whatever the number of targets: 18 in 100, which makes nine of 28 a chance of about one in sixteen. Small services keep less by the margin anyway.

--- a/schedule/coverage.go
+++ b/schedule/coverage.go
@@ -58,7 +58,8 @@
 // required returns the expected number of sound targets that must be covered, by a
 // number of this daemon's requests of the last two seconds; zero if they do not suffice.
 func (s *Scheduler) required(sound, deviations float64, requests int) float64 {
-	required := sound - maxUncovered((1-float64(s.policy.Spread))*sound, deviations)
+	allowed := (1 - float64(s.policy.Spread)) * sound
+	required := sound - min(maxUncovered(allowed, deviations), maxUncoveredShare*allowed)
 	if required > spreadMaxTraffic*float64(requests*s.replicas) {
 		return 0
 	}
@@ -73,6 +74,10 @@
 	// idempotentCoverageDeviations is the same for idempotent requests, which can be
 	// retried elsewhere if the target fails.
 	idempotentCoverageDeviations = 3
+	// maxUncoveredShare is the largest part that is used of what a platform allows to go
+	// without requests. The platform may take only a few of these targets for sound, for
+	// disruptions that show in no response.
+	maxUncoveredShare = 0.6
 )
 
 // maxUncovered returns the largest expected number of events that stays a number of
