--- a/dispatch/statement.go
+++ b/dispatch/statement.go
@@ -58,7 +58,7 @@
 func (s *serviceDispatcher) recordStatement(sentAt time.Time, e schedule.Endpoint, said statement.Statement, err error) {
 	log := s.log.With().Str("Target", string(e.ID)).Str("Address", string(e.Address)).Logger()
 	if err != nil {
-		log.Warn().Err(err).Msg("statement of a target cannot be read")
+		log.Warn().AnErr("Cause", err).Msg("statement of a target cannot be read")
 	}
 	changed := s.dispatcher.statements.Record(time.Now(), sentAt, e.Process(), said)
 	if changed.Leaving {
--- a/publication/client.go
+++ b/publication/client.go
@@ -204,7 +204,7 @@
 		w.failures = 0
 	default:
 		if w.failures++; w.failures == 1 {
-			log.Warn().Err(err).Msg("platform does not answer")
+			log.Warn().AnErr("Cause", err).Msg("platform does not answer")
 		}
 	}
 }
