--- a/command/reload.go
+++ b/command/reload.go
@@ -119,6 +119,7 @@
 		if err := store.SetFormat(platform.Format{Policy: policyForStoreServices(terms)}); err != nil {
 			return err
 		}
+		r.log.Info().EmbedObject(terms).Msg("terms of the platform")
 	}
 	directory.SetTTL(addressTTL(next, terms))
 	return nil
--- a/command/serve.go
+++ b/command/serve.go
@@ -127,6 +127,9 @@
 	usesStore := daemon.Store.Address != ""
 	requestLog := log.Sample(newRequestSampler(scope))
 
+	if usesStore {
+		log.Info().EmbedObject(terms).Msg("terms of the platform")
+	}
 	k := kernel.New()
 	if b.dropped != nil {
 		k.Register(logServiceName, logService{b.dropped})
@@ -215,6 +218,7 @@
 		Queue:           storeQueue,
 		RetryShare:      terms.RetryShare,
 		RetryBurst:      terms.RetryBurst,
+		RetryWindow:     terms.RetryWindow,
 		Attempts:        1,
 		FailureCost:     storeFailureCost,
 		Spread:          terms.MinCoverage,
--- a/configuration/service.go
+++ b/configuration/service.go
@@ -32,9 +32,10 @@
 	// RetryShare is how many retries are allowed per first attempt.
 	RetryShare unit.Ratio
 	// RetryBurst is how many retries all daemons together may make beyond
-	// RetryShare; if it is zero, each daemon has the default burst of package
-	// retry.
-	RetryBurst float64
+	// RetryShare within each RetryWindow. If RetryWindow is zero, each daemon has the
+	// default burst of package retry.
+	RetryBurst  float64
+	RetryWindow time.Duration
 	// Attempts limits the attempts of one request; at least 1. A route may set its
 	// own limit. Attempts that follow a failed dial may exceed it.
 	Attempts int
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -46,12 +46,15 @@
 // longestStep is longer than any step of a scripted target.
 const longestStep = time.Hour
 
+// retryWindow is longer than any script.
+const retryWindow = 5 * time.Minute
+
 // newRequestScript starts a dispatcher of the services beds and halls. Each
 // request gets a route of its own, idempotent or not.
 func newRequestScript() *requestScript {
-	s := &requestScript{startedAt: time.Now(), steps: make(map[string][]string), setTargets: make(map[id.Service]func([]schedule.Endpoint))}
+	s := &requestScript{steps: make(map[string][]string), setTargets: make(map[id.Service]func([]schedule.Endpoint))}
 	s.policy = &configuration.Service{
-		Name: "beds", Slots: 2, Floor: 1, LongShare: 1, Queue: 10, Attempts: 1, RetryShare: 0.2, RetryBurst: 6,
+		Name: "beds", Slots: 2, Floor: 1, LongShare: 1, Queue: 10, Attempts: 1, RetryShare: 0.2, RetryBurst: 6, RetryWindow: retryWindow,
 		Connections: 10, FailureCost: 8, Hedge: 2.5,
 		Contract: configuration.Contract{
 			NotRunHeader: "X-Not-Run", NotRunAnyStatus: true, MisdirectedStatus: http.StatusMisdirectedRequest,
@@ -71,9 +74,12 @@
 	if err := s.dispatcher.Start(context.Background(), k); err != nil {
 		panic(err)
 	}
-	s.dispatcher.SetReplicas(Replicas{Serving: true})
+	s.dispatcher.SetReplicas(Replicas{Serving: true, Known: 1, Reachable: 1})
 	s.dispatcher.Prepare(s.policy)
 	s.dispatcher.Prepare(&other)
+	// The retry budgets are full after a window without a retry.
+	time.Sleep(retryWindow)
+	s.startedAt = time.Now()
 	return s
 }
 
@@ -144,7 +150,10 @@
 	case "halls":
 		s.setTargets["halls"]([]schedule.Endpoint{{ID: id.Target(w[1]), Address: id.Address(w[1])}})
 	case "spread":
+		beds := s.dispatcher.getOrCreateService(s.policy)
+		beds.mu.Lock()
 		s.policy.Spread = 0.7
+		beds.mu.Unlock()
 	case "many":
 		// Only the last two events are kept.
 		n, _ := strconv.Atoi(w[1])
--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -247,7 +247,8 @@
 func (s *serviceDispatcher) takeHedgeToken(attempts int, route *configuration.Route) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if attempts >= s.attemptLimit(route) || s.budget.Tokens() < hedgeReserve*s.budget.Burst() || !s.budget.TryTake() {
+	now := time.Now()
+	if attempts >= s.attemptLimit(route) || s.budget.Tokens(now) < hedgeReserve*s.budget.Burst() || !s.budget.TryTake(now) {
 		return false
 	}
 	s.scope.Counter("hedges").Inc(1)
--- a/dispatch/handle.go
+++ b/dispatch/handle.go
@@ -183,7 +183,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if attempts >= s.attemptLimit(route) || !s.budget.TryTake() {
+	if attempts >= s.attemptLimit(route) || !s.budget.TryTake(time.Now()) {
 		return false
 	}
 	s.scope.Counter("retries").Inc(1)
--- a/dispatch/replicas.go
+++ b/dispatch/replicas.go
@@ -54,6 +54,9 @@
 	Serving bool
 	// Others lists the other replicas.
 	Others []id.Host
+	// Known is the number of daemons, with those that cannot be reached, Reachable that
+	// of the others. Both count this daemon.
+	Known, Reachable int
 }
 
 // SetReplicas sets the replicas. If this daemon is one of them, it follows the
@@ -79,29 +82,45 @@
 	}
 	d.mu.Unlock()
 	if r.Serving != before.Serving || len(r.Others) != len(before.Others) {
-		d.cfg.Log.Info().Bool("Serving", r.Serving).Int("Others", len(r.Others)).Msg("daemons that callers use change")
-		for _, s := range d.serviceDispatchers() {
-			s.updateReplicas()
-		}
+		d.cfg.Log.Info().Bool("Serving", r.Serving).Int("Others", len(r.Others)).Int("Known", r.Known).Int("Reachable", r.Reachable).
+			Msg("daemons that callers use change")
+	}
+	for _, s := range d.serviceDispatchers() {
+		s.updateReplicas()
 	}
 }
 
 // budgetConfig returns the configuration of this daemon's retry budget for a service.
 func (d *Dispatcher) budgetConfig(p *configuration.Service) retry.Config {
-	cfg := retry.Config{Share: p.RetryShare}
-	if p.RetryBurst > 0 {
-		r := d.replicas.Load()
-		cfg.Burst = retry.BurstShare(p.RetryBurst, r.Serving, r.count())
+	cfg := retry.Config{Share: p.RetryShare, Window: p.RetryWindow}
+	if p.RetryWindow > 0 {
+		cfg.Burst = retry.BurstShare(p.RetryBurst, d.replicas.Load().fleet(d.cfg.Host))
 	}
 	return cfg
 }
 
+// fleet returns what decides about the part of a daemon in a limit on all of them.
+func (r *Replicas) fleet(self id.Host) retry.Fleet {
+	f := retry.Fleet{Serving: r.Serving, Replicas: r.count(), Known: r.Known, Reachable: r.Reachable}
+	for _, host := range r.Others {
+		f.Rank += boolToInt(host < self)
+	}
+	return f
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // updateReplicas applies a changed set of replicas to the retry budget and the
 // scheduler.
 func (s *serviceDispatcher) updateReplicas() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.budget.SetConfig(s.dispatcher.budgetConfig(s.policy))
+	s.budget.SetConfig(time.Now(), s.dispatcher.budgetConfig(s.policy))
 	s.scheduler.SetReplicas(s.dispatcher.replicas.Load().sharing())
 }
 
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -73,7 +73,7 @@
 		policy:        policy,
 		scheduler:     schedule.New(policy, table, random),
 		suspects:      table,
-		budget:        retry.NewBudget(dispatcher.budgetConfig(policy)),
+		budget:        retry.NewBudget(time.Now(), dispatcher.budgetConfig(policy)),
 		random:        random,
 		waiting:       make(map[schedule.Ticket]chan schedule.Decision),
 		pools:         make(map[id.Target]*targetPool),
@@ -140,7 +140,7 @@
 	if next := current.Services[s.name]; next != nil && next != s.policy {
 		s.policy = next
 		s.scheduler.SetPolicy(next)
-		s.budget.SetConfig(s.dispatcher.budgetConfig(next))
+		s.budget.SetConfig(time.Now(), s.dispatcher.budgetConfig(next))
 	}
 }
 
@@ -272,7 +272,7 @@
 		Service:     s.name,
 		Scheduler:   s.scheduler.State(time.Now()),
 		Suspects:    s.suspects.State(),
-		RetryTokens: s.budget.Tokens(),
+		RetryTokens: s.budget.Tokens(time.Now()),
 		Connections: make(map[id.Target]exchange.State),
 	}
 	for name, p := range s.pools {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -2,6 +2,7 @@
 package retry
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -15,77 +16,110 @@
 	cfg Config
 	// tokens is between 0 and the burst; a retry takes one.
 	tokens float64
-	// maxBurst is the largest burst so far. Tokens are added only when the burst
-	// exceeds it, so that a burst that shrinks and grows again does not refill them.
-	maxBurst float64
+	// quietSince is when a token was last taken or the burst last grew.
+	quietSince time.Time
 }
 
 type Config struct {
 	// Share is the number of retries allowed per first attempt.
 	Share unit.Ratio
-	// Burst is the capacity of the token bucket; zero means defaultBurst. The retries
-	// in any interval are at most Burst plus Share times the first attempts in it.
+	// Burst is the capacity of the token bucket. The retries in any interval of the
+	// length Window are at most Burst plus Share times the first attempts in it.
 	Burst float64
+	// Window is the length of the intervals in which the retries of all daemons
+	// together are limited. A budget starts empty and is filled once it was quiet for
+	// that long. If Window is zero, the daemons are limited one by one: Burst is at
+	// least defaultBurst, and a budget starts full.
+	Window time.Duration
 }
 
 const defaultBurst = 10
 
 func (c Config) burst() float64 {
-	if c.Burst == 0 {
-		return defaultBurst
+	if c.Window == 0 {
+		return max(c.Burst, defaultBurst)
 	}
 	return c.Burst
 }
 
-// NewBudget returns a full budget.
-func NewBudget(cfg Config) *Budget {
-	return &Budget{cfg: cfg, tokens: cfg.burst(), maxBurst: cfg.burst()}
+// NewBudget returns the budget of a daemon that may not have known its part of a
+// total until now. With a Window it starts empty: the daemons that this one replaces
+// may have spent their bursts just before.
+func NewBudget(now time.Time, cfg Config) *Budget {
+	b := &Budget{cfg: cfg, quietSince: now}
+	if cfg.Window == 0 {
+		b.tokens = cfg.burst()
+	}
+	return b
 }
 
-const (
-	// idleBurst is the burst of a daemon that callers are not directed to. It is
-	// less than one, so that such a daemon makes no retries: it gets only stray
-	// requests, and a hundred such daemons would take too much of the total from
-	// the replicas.
-	idleBurst = 0.5
-	// replicaShare is the fraction of the total burst that is divided among the
-	// replicas. The rest is a reserve for the time around the replacement of a
-	// replica, in which both the old and the new one can spend a burst.
-	replicaShare = 0.85
-)
+// replicaShare is the fraction of the total burst that is divided among the
+// replicas. The rest is a reserve for the time in which daemons disagree about who
+// the replicas are.
+const replicaShare = 0.85
+
+// Fleet is one daemon's view of the daemons that share a total burst.
+type Fleet struct {
+	// Serving tells that this daemon is a replica: one of those that callers are
+	// directed to. Rank is its position among them, counted from 0.
+	Serving bool
+	Rank    int
+	// Replicas is the number of replicas in this view.
+	Replicas int
+	// Known is the number of daemons, with those that cannot be reached, Reachable that
+	// of the others. Both count this daemon.
+	Known, Reachable int
+}
 
 // BurstShare returns the burst of one daemon, so that the bursts of all daemons
 // stay within a total. It is for platforms that limit the retries of all daemons
-// together, since the daemons share no counter. The argument replicas is the number
-// of daemons that callers are directed to, and serving tells whether this daemon is
-// one of them. A replica has a burst of at least 1, even if the sum then exceeds the
-// total.
-func BurstShare(total float64, serving bool, replicas int) float64 {
-	if !serving || replicas == 0 {
-		return idleBurst
+// together, since the daemons share no counter. While the fleet is cut into parts,
+// each part has replicas of its own, and gets a part of the total by the daemons in it.
+// A burst below 1 allows no retry at all, so that a small part of the total is divided
+// among as many replicas as can have 1. Daemons that are no replicas get only stray
+// requests and have no burst.
+func BurstShare(total float64, f Fleet) float64 {
+	if !f.Serving || f.Replicas == 0 || f.Known == 0 {
+		return 0
+	}
+	part := replicaShare * total * min(1, float64(f.Reachable)/float64(f.Known))
+	n := min(f.Replicas, int(min(part, math.MaxInt32)))
+	if f.Rank >= n {
+		return 0
 	}
-	return max(1, replicaShare*total/float64(replicas))
+	return part / float64(n)
 }
 
-// SetConfig changes the configuration. Tokens beyond the new burst are lost.
-func (b *Budget) SetConfig(cfg Config) {
-	b.cfg = cfg
-	if burst := cfg.burst(); burst > b.maxBurst {
-		b.tokens += burst - b.maxBurst
-		b.maxBurst = burst
+// SetConfig changes the configuration. Tokens beyond the new burst are lost. A larger
+// burst adds none before the budget was quiet for the Window.
+func (b *Budget) SetConfig(now time.Time, cfg Config) {
+	b.fill(now)
+	if cfg.burst() > b.cfg.burst() {
+		b.quietSince = now
 	}
+	b.cfg = cfg
 	b.tokens = min(b.tokens, cfg.burst())
 }
 
+// fill fills the budget if no token was taken within the Window: any interval of that
+// length then has at most the burst and the share of its own first attempts.
+func (b *Budget) fill(now time.Time) {
+	if b.cfg.Window > 0 && now.Sub(b.quietSince) >= b.cfg.Window {
+		b.tokens = b.cfg.burst()
+	}
+}
+
 // RecordFirstAttempt adds Share tokens for the first attempt of a request.
 func (b *Budget) RecordFirstAttempt() { b.tokens = min(b.cfg.burst(), b.tokens+float64(b.cfg.Share)) }
 
 // TryTake takes a token for one retry and reports whether there was one.
-func (b *Budget) TryTake() bool {
+func (b *Budget) TryTake(now time.Time) bool {
+	b.fill(now)
 	if b.tokens < 1 {
 		return false
 	}
 	b.tokens--
+	b.quietSince = now
 	return true
 }
 
@@ -93,7 +127,10 @@
 func (b *Budget) Burst() float64 { return b.cfg.burst() }
 
 // Tokens returns the number of tokens. A retry needs a whole one.
-func (b *Budget) Tokens() float64 { return b.tokens }
+func (b *Budget) Tokens(now time.Time) float64 {
+	b.fill(now)
+	return b.tokens
+}
 
 const (
 	firstBackoff = 5 * time.Millisecond
--- a/router/prepare.go
+++ b/router/prepare.go
@@ -93,7 +93,7 @@
 func (r *Router) prepare(snapshot *configuration.Snapshot) {
 	self := r.peers.Self()
 	if r.local {
-		r.dispatcher.SetReplicas(replicaSet(r.rankings.replicaList(r.peers), self))
+		r.dispatcher.SetReplicas(replicaSet(r.rankings.replicaList(r.peers), self, r.peers.Members()))
 	}
 	for name, policy := range snapshot.Services {
 		if r.local {
@@ -109,9 +109,19 @@
 	}
 }
 
-// replicaSet returns whether this daemon is a replica, and the hosts of the others.
-func replicaSet(replicas []roster.Member, self roster.Member) dispatch.Replicas {
+// replicaSet returns whether this daemon is a replica, the hosts of the others, and how
+// many of the known daemons can be reached.
+func replicaSet(replicas []roster.Member, self roster.Member, known []roster.Member) dispatch.Replicas {
 	var set dispatch.Replicas
+	for _, m := range known {
+		if m.State == roster.Unseen {
+			continue
+		}
+		set.Known++
+		if m.State != roster.Suspect && m.State != roster.Dead {
+			set.Reachable++
+		}
+	}
 	for _, m := range replicas {
 		if m.Host == self.Host {
 			set.Serving = true
