--- a/backlog/backlog.go
+++ b/backlog/backlog.go
@@ -8,7 +8,9 @@
 // Log holds the most recent entries of a sequence. It is not safe for concurrent
 // use.
 type Log[T any] struct {
-	limit   int
+	limit int
+	// entries holds up to 2*limit entries, so that an entry is moved once on average.
+	// Readers get at most the last limit ones.
 	entries []T
 	// end is the cursor after the last entry.
 	end Cursor
@@ -29,9 +31,16 @@
 	}
 	l.entries = append(l.entries, list...)
 	l.end += Cursor(len(list))
-	if excess := len(l.entries) - l.limit; excess > 0 {
-		l.entries = append([]T(nil), l.entries[excess:]...)
+	if len(l.entries) > 2*l.limit {
+		kept := copy(l.entries, l.entries[len(l.entries)-l.limit:])
+		clear(l.entries[kept:])
+		l.entries = l.entries[:kept]
 	}
+	l.Wake()
+}
+
+// Wake wakes the readers, also if there are no new entries.
+func (l *Log[T]) Wake() {
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
@@ -39,7 +48,7 @@
 // Since returns a copy of the entries after a cursor, or false if some of them
 // have been dropped or the cursor is past the end.
 func (l *Log[T]) Since(c Cursor) ([]T, bool) {
-	if c > l.end || l.end-c > Cursor(len(l.entries)) {
+	if c > l.end || l.end-c > Cursor(min(l.limit, len(l.entries))) {
 		return nil, false
 	}
 	return append([]T(nil), l.entries[len(l.entries)-int(l.end-c):]...), true
--- a/backlog/backlog_test.go
+++ b/backlog/backlog_test.go
@@ -32,3 +32,19 @@
 	}
 	require.Equal(t, Cursor(4), l.End())
 }
+
+// TestCostOfAppend bounds what is allocated for one more entry of a log that has reached
+// its limit.
+func TestCostOfAppend(t *testing.T) {
+	l := New[[8]uint64](1024)
+	for range 3000 {
+		l.Append(make([][8]uint64, 1))
+	}
+	one := make([][8]uint64, 1)
+	require.LessOrEqual(t, testing.AllocsPerRun(3000, func() { l.Append(one) }), 1.0, "the channel")
+	list, ok := l.Since(l.End() - 1024)
+	require.True(t, ok)
+	require.Len(t, list, 1024)
+	_, ok = l.Since(l.End() - 1025)
+	require.False(t, ok)
+}
--- a/bench/dispatcher.go
+++ b/bench/dispatcher.go
@@ -61,7 +61,7 @@
 	for i := range s.Targets {
 		endpoints = append(endpoints, schedule.Endpoint{ID: targetID(i), Address: id.Address(targetID(i))})
 	}
-	d.scheduler.SetTargets(d.time(), endpoints)
+	d.scheduler.UpdateTargets(d.time(), schedule.TargetChange{Full: true, Listed: endpoints})
 	m.after(tickInterval, d.tick)
 	return d
 }
--- a/command/reload.go
+++ b/command/reload.go
@@ -34,6 +34,8 @@
 	// refused.
 	current settings.Daemon
 	data    []byte
+	// stopBound is how long a stop may take by the settings accepted last.
+	stopBound time.Duration
 }
 
 // run checks the file at each signal and every settingsPollInterval until the
@@ -85,6 +87,10 @@
 	if err != nil {
 		return err
 	}
+	bound, err := stopBound(next, terms)
+	if err != nil {
+		return err
+	}
 	callers, err := kernel.Find[interface{ SetTiming(settings.Timing) }](r.kernel, caller.ServiceName)
 	if err != nil {
 		return err
@@ -98,6 +104,7 @@
 			return err
 		}
 	}
+	r.stopBound = bound
 	callers.SetTiming(next.Timing)
 	peers.AddSeeds(next.Seeds)
 	return nil
--- a/command/serve.go
+++ b/command/serve.go
@@ -59,12 +59,35 @@
 	}
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	return run(k, &reloader{path: s.Settings, log: log, kernel: k, signals: reload, current: daemon, data: data})
+	return run(k, &reloader{path: s.Settings, log: log, kernel: k, signals: reload, current: daemon, data: data, stopBound: b.stopBound})
+}
+
+// killMargin is how long before the platform kills a daemon its stop ends.
+const killMargin = 500 * time.Millisecond
+
+// stopBound returns how long a stop may take: Timing.Stop, or what the platform whose
+// store the daemon reads grants if the settings set none. It is an error if callers may
+// still hold the daemon's address when the stop has to end.
+func stopBound(daemon settings.Daemon, terms platform.Terms) (time.Duration, error) {
+	bound := daemon.Timing.Stop
+	if daemon.Store.Address != "" {
+		granted := terms.Grace - killMargin
+		if bound > granted {
+			return 0, fmt.Errorf("settings: [Timing] Stop = %s is longer than the platform's grace of %s less %s", bound, terms.Grace, killMargin)
+		}
+		if bound == 0 {
+			bound = granted
+		}
+	}
+	if bound > 0 && daemon.Timing.Hold > bound {
+		return 0, fmt.Errorf("settings: [Timing] Hold = %s is longer than a stop may take, %s", daemon.Timing.Hold, bound)
+	}
+	return bound, nil
 }
 
 // run starts the services, applies changed settings until SIGINT or SIGTERM, and
-// stops the services. The stop takes at most Timing.Stop, or, if that is zero, as
-// long as the requests in progress take.
+// stops the services. The stop takes at most the bound that stopBound gives, or, if that
+// is zero, as long as the requests in progress take.
 func run(k *kernel.Kernel, r *reloader) error {
 	daemon, log := r.current, r.log
 	log.Info().Str("FailureDomain", string(daemon.FailureDomain)).Int("Seeds", len(daemon.Seeds)).Msg("starting")
@@ -74,12 +97,12 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	r.run(ctx)
-	daemon = r.current
-	log.Info().Dur("Bound", daemon.Timing.Stop).Msg("stopping")
+	bound := r.stopBound
+	log.Info().Dur("Bound", bound).Msg("stopping")
 	ctx = context.Background()
-	if daemon.Timing.Stop > 0 {
+	if bound > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, daemon.Timing.Stop)
+		ctx, cancel = context.WithTimeout(ctx, bound)
 		defer cancel()
 	}
 	err := k.Stop(ctx)
@@ -100,6 +123,8 @@
 	// is registered.
 	dropped func() int64
 	now     time.Time
+	// stopBound is set by buildKernel; see the function.
+	stopBound time.Duration
 }
 
 // buildKernel registers the services of a daemon. They start in the order of
@@ -110,6 +135,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if b.stopBound, err = stopBound(daemon, terms); err != nil {
+		return nil, err
+	}
 	self := roster.Member{
 		Host:          daemon.Host,
 		FailureDomain: daemon.FailureDomain,
@@ -146,7 +174,7 @@
 	if usesStore {
 		k.Register(registry.ServiceName, registry.New(registry.Config{
 			Platform: platform.NewStoreClient(daemon.Store.Address), Log: log, Scope: scope,
-			Seed: slices.Contains(daemon.Seeds, daemon.Advertised.Peers),
+			Seed: slices.Contains(daemon.Seeds, daemon.Advertised.Peers), InForce: terms.InForce(),
 		}))
 	} else {
 		k.Register(publication.ServiceName, publication.NewReader(publication.Config{Addresses: daemon.Platform, Log: log}))
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -52,7 +52,7 @@
 // newRequestScript starts a dispatcher of the services beds and halls. Each
 // request gets a route of its own, idempotent or not.
 func newRequestScript() *requestScript {
-	s := &requestScript{steps: make(map[string][]string), setTargets: make(map[id.Service]func([]schedule.Endpoint))}
+	s := &requestScript{steps: make(map[string][]string), updateTargets: make(map[id.Service]func(schedule.TargetChange))}
 	s.policy = &configuration.Service{
 		Name: "beds", Slots: 2, Floor: 1, LongShare: 1, Queue: 10, Attempts: 1, RetryShare: 0.2, RetryBurst: 6, RetryWindow: retryWindow,
 		Connections: 10, FailureCost: 8, Hedge: 2.5,
@@ -87,11 +87,11 @@
 	dispatcher *Dispatcher
 	policy     *configuration.Service
 	snapshot   *configuration.Snapshot
-	// setTargets passes a list of targets to the dispatcher of a service.
-	setTargets map[id.Service]func([]schedule.Endpoint)
-	startedAt  time.Time
-	responses  conc.WaitGroup
-	stopping   flag
+	// updateTargets passes a change of the targets to the dispatcher of a service.
+	updateTargets map[id.Service]func(schedule.TargetChange)
+	startedAt     time.Time
+	responses     conc.WaitGroup
+	stopping      flag
 
 	mu sync.Mutex
 	// steps holds how each target handles its next requests.
@@ -117,8 +117,8 @@
 func (s *requestScript) State() any                                  { return nil }
 func (s *requestScript) Current() *configuration.Snapshot            { return s.snapshot }
 
-func (s *requestScript) WatchTargets(_ context.Context, _ *conc.WaitGroup, name id.Service, handle func([]schedule.Endpoint)) {
-	s.setTargets[name] = handle
+func (s *requestScript) WatchTargets(_ context.Context, _ *conc.WaitGroup, name id.Service, handle func(schedule.TargetChange)) {
+	s.updateTargets[name] = handle
 }
 
 // execute runs one of these commands:
@@ -146,9 +146,9 @@
 			incarnation, _ := strconv.ParseUint(number, 10, 64)
 			list = append(list, schedule.Endpoint{ID: id.Target(name), Address: id.Address(name), Incarnation: incarnation})
 		}
-		s.setTargets["beds"](list)
+		s.updateTargets["beds"](schedule.TargetChange{Full: true, Listed: list})
 	case "halls":
-		s.setTargets["halls"]([]schedule.Endpoint{{ID: id.Target(w[1]), Address: id.Address(w[1])}})
+		s.updateTargets["halls"](schedule.TargetChange{Full: true, Listed: []schedule.Endpoint{{ID: id.Target(w[1]), Address: id.Address(w[1])}}})
 	case "spread":
 		beds := s.dispatcher.getOrCreateService(s.policy)
 		beds.mu.Lock()
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -34,9 +34,10 @@
 // ServiceName is the name of the Dispatcher in the kernel.
 const ServiceName kernel.Name = "dispatch"
 
-// targetLists provides the platform's lists of targets.
+// targetLists provides the platform's lists of targets: first the whole list of a
+// service, then its changes until the context ends.
 type targetLists interface {
-	WatchTargets(ctx context.Context, group *conc.WaitGroup, s id.Service, handle func([]schedule.Endpoint))
+	WatchTargets(ctx context.Context, group *conc.WaitGroup, s id.Service, handle func(schedule.TargetChange))
 }
 
 // configurationSource provides the configuration in force.
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -43,11 +43,17 @@
 	// shortIdleUntil is the time until which maxIdle is shortIdleLimit, because a
 	// target dropped an idle connection.
 	shortIdleUntil time.Time
+	// idle tells that the last tick changed nothing; arrived then ends the wait for the
+	// next tick.
+	idle    bool
+	arrived chan struct{}
 	// targetsListed is closed when the first list of targets arrives.
 	targetsListed chan struct{}
 	// lastUsed is when the last request arrived. Probes stop if that is longer ago
 	// than probeAfterUse, because then another daemon dispatches the service.
 	lastUsed time.Time
+	// trimmedAt is when the pools were last searched for idle connections.
+	trimmedAt time.Time
 	// coverageLoggedAt is when the coverage of the targets was last logged.
 	coverageLoggedAt time.Time
 
@@ -78,6 +84,7 @@
 		waiting:       make(map[schedule.Ticket]chan schedule.Decision),
 		pools:         make(map[id.Target]*targetPool),
 		targetsListed: make(chan struct{}),
+		arrived:       make(chan struct{}, 1),
 	}
 	s.scheduler.SetFailureDomain(dispatcher.cfg.FailureDomain)
 	s.scheduler.SetStatements(dispatcher.statements)
@@ -87,7 +94,7 @@
 
 func (s *serviceDispatcher) start(ctx context.Context) {
 	ctx, s.cancel = context.WithCancel(ctx)
-	s.dispatcher.lists.WatchTargets(ctx, &s.group, s.name, func(list []schedule.Endpoint) { s.setTargets(ctx, list) })
+	s.dispatcher.lists.WatchTargets(ctx, &s.group, s.name, func(c schedule.TargetChange) { s.updateTargets(ctx, c) })
 	s.group.Go(func() { s.loop(ctx) })
 }
 
@@ -101,23 +108,30 @@
 	}
 }
 
-// tickInterval is the time between two ticks of a scheduler.
-const tickInterval = 50 * time.Millisecond
+const (
+	// tickInterval is the time between two ticks of a scheduler.
+	tickInterval = 50 * time.Millisecond
+	// idleTickInterval replaces tickInterval while ticks change nothing. Most daemons of
+	// a large fleet get no requests.
+	idleTickInterval = time.Second
+)
 
 func (s *serviceDispatcher) loop(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(tickInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			s.tick(now)
+		case <-s.arrived:
+		case <-timer.C:
 		}
+		timer.Reset(s.tick(time.Now()))
 	}
 }
 
-func (s *serviceDispatcher) tick(now time.Time) {
+// tick updates what changes with time and returns the time until the next tick.
+func (s *serviceDispatcher) tick(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.updatePolicy()
@@ -126,11 +140,22 @@
 	s.reportCounts(before)
 	s.deliverDecisions(now)
 	s.logCoverage(now)
-	for _, p := range s.pools {
-		p.pool.Trim(now)
+	if now.Sub(s.trimmedAt) >= trimInterval {
+		s.trimmedAt = now
+		for _, p := range s.pools {
+			p.pool.Trim(now)
+		}
+	}
+	if s.idle = s.scheduler.Idle(now); s.idle {
+		return idleTickInterval
 	}
+	return tickInterval
 }
 
+// trimInterval is the time between two searches for connections idle for longer than
+// idleLimit.
+const trimInterval = time.Second
+
 // updatePolicy applies the policy of the configuration in force if it changed.
 func (s *serviceDispatcher) updatePolicy() {
 	current := s.dispatcher.configurations.Current()
@@ -173,22 +198,25 @@
 // once.
 const maxNotices = 16
 
-func (s *serviceDispatcher) setTargets(ctx context.Context, list []schedule.Endpoint) {
+// updateTargets applies a change of the list of targets to the scheduler and to the
+// connection pools.
+func (s *serviceDispatcher) updateTargets(ctx context.Context, c schedule.TargetChange) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.scheduler.SetTargets(now, list)
-	next := make(map[id.Target]*targetPool)
-	for _, e := range list {
-		next[e.ID] = s.reuseOrCreatePool(ctx, e)
+	if c.Full {
+		c.Gone = s.unlisted(c.Listed)
 	}
-	for name, p := range s.pools {
-		if next[name] != p {
-			p.cancel()
-			p.pool.Close()
+	s.scheduler.UpdateTargets(now, c)
+	for _, name := range c.Gone {
+		if p := s.pools[name]; p != nil {
+			p.close()
+			delete(s.pools, name)
 		}
 	}
-	s.pools = next
+	for _, e := range c.Listed {
+		s.listPool(ctx, e)
+	}
 	select {
 	case <-s.targetsListed:
 	default:
@@ -241,11 +269,35 @@
 	s.shortIdleUntil = time.Now().Add(shortIdlePeriod)
 }
 
-// reuseOrCreatePool returns the connection pool of a target, or creates one and
-// starts a prober for the target. The caller holds s.mu.
-func (s *serviceDispatcher) reuseOrCreatePool(ctx context.Context, e schedule.Endpoint) *targetPool {
-	if p := s.pools[e.ID]; p != nil && p.endpoint.SameProcess(e) {
-		return p
+// unlisted returns the targets with a pool that a list lacks.
+func (s *serviceDispatcher) unlisted(list []schedule.Endpoint) []id.Target {
+	listed := make(map[id.Target]bool, len(list))
+	for _, e := range list {
+		listed[e.ID] = true
+	}
+	var gone []id.Target
+	for name := range s.pools {
+		if !listed[name] {
+			gone = append(gone, name)
+		}
+	}
+	return gone
+}
+
+func (p *targetPool) close() {
+	p.cancel()
+	p.pool.Close()
+}
+
+// listPool makes a connection pool for a listed target and starts a prober for it. The
+// pool of an earlier process of the target is closed, that of the same process kept. The
+// caller holds s.mu.
+func (s *serviceDispatcher) listPool(ctx context.Context, e schedule.Endpoint) {
+	if p := s.pools[e.ID]; p != nil {
+		if p.endpoint.SameProcess(e) {
+			return
+		}
+		p.close()
 	}
 	pool := exchange.New(exchange.Config{
 		Address:        e.Address,
@@ -262,7 +314,7 @@
 		p := &prober{service: s, endpoint: e, pool: pool}
 		s.group.Go(func() { p.loop(ctx) })
 	}
-	return &targetPool{endpoint: e, pool: pool, cancel: cancel}
+	s.pools[e.ID] = &targetPool{endpoint: e, pool: pool, cancel: cancel}
 }
 
 func (s *serviceDispatcher) state() ServiceState {
--- a/health/health.go
+++ b/health/health.go
@@ -133,21 +133,16 @@
 // SetConfig changes the parameters and keeps the state of the targets.
 func (d *Detector) SetConfig(cfg Config) { d.cfg = cfg }
 
-// SetTargets replaces the list of targets and keeps the state of those that
-// remain.
-func (d *Detector) SetTargets(ids []id.Target) {
-	for name := range d.targets {
-		if !slices.Contains(ids, name) {
-			delete(d.targets, name)
-		}
-	}
-	for _, name := range ids {
-		if d.targets[name] == nil {
-			d.targets[name] = &target{state: Serving}
-		}
+// AddTarget adds a target. The state of a known one is kept.
+func (d *Detector) AddTarget(name id.Target) {
+	if d.targets[name] == nil {
+		d.targets[name] = &target{state: Serving}
 	}
 }
 
+// RemoveTarget forgets a target.
+func (d *Detector) RemoveTarget(name id.Target) { delete(d.targets, name) }
+
 // SetUnavailable records whether a target is unavailable: draining or
 // unreachable.
 func (d *Detector) SetUnavailable(name id.Target, unavailable bool) {
--- a/publication/reader.go
+++ b/publication/reader.go
@@ -113,11 +113,11 @@
 	return nil
 }
 
-// WatchTargets calls apply with the current list of a service's targets and
-// after each change until ctx ends. Invalid lists are skipped. If no valid list
+// WatchTargets calls apply with the whole list of a service's targets, at once and
+// after each change, until ctx ends. Invalid lists are skipped. If no valid list
 // arrives from the platform within peerFallbackDelay, apply may first get a list
 // from a peer.
-func (r *Reader) WatchTargets(ctx context.Context, group *conc.WaitGroup, s id.Service, apply func([]schedule.Endpoint)) {
+func (r *Reader) WatchTargets(ctx context.Context, group *conc.WaitGroup, s id.Service, apply func(schedule.TargetChange)) {
 	w := &targetWatch{reader: r, service: s, apply: apply}
 	r.client.Watch(ctx, group, TargetsKey(s), w.applyFromPlatform)
 	group.Go(func() { w.run(ctx) })
--- a/publication/targets.go
+++ b/publication/targets.go
@@ -14,7 +14,7 @@
 type targetWatch struct {
 	reader  *Reader
 	service id.Service
-	apply   func([]schedule.Endpoint)
+	apply   func(schedule.TargetChange)
 }
 
 // peerTargetLists requests lists of targets from peers. A peer returns the last
@@ -32,7 +32,7 @@
 		return nil
 	}
 	w.storeList(data)
-	w.apply(list)
+	w.apply(schedule.TargetChange{Full: true, Listed: list})
 	return nil
 }
 
@@ -81,6 +81,6 @@
 	}
 	w.reader.log.Info().Str("Service", string(w.service)).Msg("list of targets taken from a peer")
 	w.storeList(data)
-	w.apply(list)
+	w.apply(schedule.TargetChange{Full: true, Listed: list})
 	return true
 }
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -48,7 +48,7 @@
 	if m.Age >= 0 {
 		r.confirm(f.host, now.Add(-m.Age))
 	}
-	if m.Age < 0 || m.Age > maxCopyAge {
+	if m.Age < 0 || m.Age > r.selector.maxCopyAge() {
 		r.selector.recordFailure(now, f.host)
 	}
 	r.mu.Unlock()
--- a/registry/reader.go
+++ b/registry/reader.go
@@ -16,10 +16,15 @@
 	// seconds.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 800 * time.Millisecond
-	// batchDelay is the pause after a call that returned changes. When targets
-	// start or are replaced, more changes follow shortly, and each call is
-	// charged.
-	batchDelay = 100 * time.Millisecond
+	// batchDelay is the pause after a call that returned changes, as a share of the time
+	// in which they must be in force. When targets start or are replaced, more changes
+	// follow shortly; each call is charged, and each batch goes to every daemon.
+	batchDelay = 0.1
+	// watchWait is how long a call waits for a change, as a share of the same time. The
+	// platform charges for each call, which favors a long wait. But a pending call can
+	// miss a change or lose its connection without an error, so it must end early enough
+	// for a later one to find the change in time.
+	watchWait = 0.4
 )
 
 // platformReader reads from the platform in a goroutine of its own. Its first call
@@ -74,7 +79,7 @@
 	var l Listing
 	var err error
 	if p.listed {
-		l, err = r.cfg.Platform.Watch(p.ctx, p.revision)
+		l, err = r.cfg.Platform.Watch(p.ctx, p.revision, r.selector.shareOfInForce(watchWait))
 	} else {
 		l, err = r.cfg.Platform.List(p.ctx)
 	}
@@ -91,7 +96,7 @@
 	}
 	p.apply(l, started)
 	if !l.Full && len(l.Updates) > 0 {
-		clock.Sleep(p.ctx, batchDelay)
+		clock.Sleep(p.ctx, r.selector.shareOfInForce(batchDelay))
 	}
 	return true
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -42,9 +41,9 @@
 	// during the call; Watch returns them after the listing's revision.
 	List(ctx context.Context) (Listing, error)
 	// Watch waits for changes after a revision and returns them. It returns no
-	// updates if there are none for some time, and ErrHistoryLost if the changes
+	// updates if there are none within the wait, and ErrHistoryLost if the changes
 	// after the revision are no longer available.
-	Watch(ctx context.Context, after Revision) (Listing, error)
+	Watch(ctx context.Context, after Revision, wait time.Duration) (Listing, error)
 }
 
 // store receives the published configurations.
@@ -81,6 +80,9 @@
 	Scope    tally.Scope
 	// Seed is set if other daemons are configured to contact this one first.
 	Seed bool
+	// InForce is the time within which a change that the platform acknowledged must be
+	// in force; positive.
+	InForce time.Duration
 }
 
 // Registry keeps one daemon's copy of the published data up to date.
@@ -92,9 +94,12 @@
 	cancel context.CancelFunc
 	group  conc.WaitGroup
 
-	// notifyMu is held while a list is read and passed to watchers, so that
-	// they never get an older list after a newer one. It is locked before mu.
+	// notifyMu is held while targets are read and passed to watchers, so that
+	// they never get an older state after a newer one. It is locked before mu.
 	notifyMu sync.Mutex
+	// notified holds the service under which each target was last passed to watchers.
+	// It is guarded by notifyMu.
+	notified map[id.Target]id.Service
 
 	mu       sync.Mutex
 	view     *View
@@ -104,6 +109,8 @@
 	// copy is complete. The empty host stands for the platform. The entry of a
 	// source that is no longer read stays valid.
 	confirmed map[id.Host]time.Time
+	// announced is the latest time in confirmed of which the followers were told at once.
+	announced time.Time
 	// reader is nil while this daemon does not read from the platform.
 	reader *platformReader
 	// followers holds the follower of each peer that is followed.
@@ -117,13 +124,19 @@
 }
 
 // watcher is a subscription to the targets of a service.
-type watcher struct{ notify func([]schedule.Endpoint) }
+type watcher struct {
+	registry *Registry
+	service  id.Service
+	notify   func(schedule.TargetChange)
+	// started is set once the whole list was passed on. It is guarded by notifyMu.
+	started bool
+}
 
 // New returns a registry that reads nothing until Start.
 func New(cfg Config) *Registry {
 	return &Registry{
 		cfg: cfg, view: NewView(), confirmed: make(map[id.Host]time.Time), followers: make(map[id.Host]*follower),
-		watchers: make(map[id.Service][]*watcher), feed: backlog.New[Update](feedCapacity),
+		watchers: make(map[id.Service][]*watcher), notified: make(map[id.Target]id.Service), feed: backlog.New[Update](feedCapacity),
 	}
 }
 
@@ -138,7 +151,7 @@
 	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	self := r.peers.Self()
-	r.selector = newSourceSelector(Daemon{Host: self.Host, FailureDomain: self.FailureDomain}, r.cfg.Seed, time.Now())
+	r.selector = newSourceSelector(Daemon{Host: self.Host, FailureDomain: self.FailureDomain}, r.cfg.Seed, r.cfg.InForce, time.Now())
 	r.group.Go(func() { r.loop(r.ctx) })
 	return nil
 }
@@ -264,8 +277,17 @@
 	if at.After(r.confirmed[source]) {
 		r.confirmed[source] = at
 	}
+	if at.Sub(r.announced) >= announceInterval {
+		r.announced = at
+		r.feed.Wake()
+	}
 }
 
+// announceInterval is by how much a copy must have become newer for its followers to be
+// told at once. They would hear it with the next regular message, and theirs a further
+// one later.
+const announceInterval = 100 * time.Millisecond
+
 // publish passes updates that took effect to the peers that follow this daemon, to
 // the configuration store and to the watchers of targets. Before is the
 // configuration document before the updates; if it is nil, the current document
@@ -278,34 +300,33 @@
 	r.feed.Append(withoutConfigurations(applied))
 	document := r.view.Configuration()
 	r.mu.Unlock()
-	services := make(map[id.Service]bool)
-	for _, u := range applied {
-		r.logUpdate(u)
-		if u.Target == "" {
-			continue
-		}
-		if u.Entry != nil {
-			services[u.Entry.Service] = true
-			continue
-		}
-		// A removal does not say which service the target belonged to.
-		// Notifying all watchers is cheap because the lists are short.
-		r.mu.Lock()
-		for s := range r.watchers {
-			services[s] = true
-		}
-		r.mu.Unlock()
-	}
+	r.logUpdates(applied)
 	if document != nil && (before == nil || !sameDocument(before, document)) {
 		r.offer(document)
 	}
-	for _, s := range slices.Sorted(maps.Keys(services)) {
-		r.notifyWatchers(s)
+	r.notifyWatchers()
+}
+
+// maxLoggedUpdates bounds the targets that are logged one by one. After a listing, there
+// may be as many updates as targets.
+const maxLoggedUpdates = 64
+
+func (r *Registry) logUpdates(applied []Update) {
+	if len(applied) > maxLoggedUpdates {
+		r.cfg.Log.Info().Int("Updates", len(applied)).Uint64("Revision", uint64(applied[len(applied)-1].Revision)).
+			Msg("many targets registered or gone; each is logged at level debug")
+	}
+	for _, u := range applied {
+		level := zerolog.InfoLevel
+		if len(applied) > maxLoggedUpdates && u.Target != "" {
+			level = zerolog.DebugLevel
+		}
+		r.logUpdate(level, u)
 	}
 }
 
-func (r *Registry) logUpdate(u Update) {
-	event := r.cfg.Log.Info().Uint64("Revision", uint64(u.Revision))
+func (r *Registry) logUpdate(level zerolog.Level, u Update) {
+	event := r.cfg.Log.WithLevel(level).Uint64("Revision", uint64(u.Revision))
 	switch {
 	case u.Target == "":
 		event.Int("Bytes", len(u.Configuration)).Msg("configuration published")
@@ -317,48 +338,88 @@
 	}
 }
 
-// notifyWatchers passes the targets of a service to its watchers.
-func (r *Registry) notifyWatchers(s id.Service) {
+// notifyWatchers passes the targets that changed to the watchers of their services.
+// Each call passes on the present state, so that it does not matter which of several
+// concurrent calls does it.
+func (r *Registry) notifyWatchers() {
 	r.notifyMu.Lock()
 	defer r.notifyMu.Unlock()
+	changes := make(map[id.Service]*schedule.TargetChange)
+	change := func(s id.Service) *schedule.TargetChange {
+		if changes[s] == nil {
+			changes[s] = &schedule.TargetChange{}
+		}
+		return changes[s]
+	}
 	r.mu.Lock()
-	list, watchers := r.view.Targets(s), r.watchers[s]
+	for _, name := range r.view.TakeChanged() {
+		e, listed := r.view.Listed(name)
+		before, known := r.notified[name]
+		if known && (!listed || e.Service != before) {
+			c := change(before)
+			c.Gone = append(c.Gone, name)
+			delete(r.notified, name)
+		}
+		if listed {
+			c := change(e.Service)
+			c.Listed = append(c.Listed, e.Endpoint)
+			r.notified[name] = e.Service
+		}
+	}
+	watchers := make(map[*watcher]*schedule.TargetChange)
+	for s, c := range changes {
+		for _, w := range r.watchers[s] {
+			watchers[w] = c
+		}
+	}
 	r.mu.Unlock()
-	for _, w := range watchers {
-		w.notify(list)
+	for w, c := range watchers {
+		if w.started {
+			w.notify(*c)
+		}
 	}
 }
 
-// WatchTargets calls notify with the targets of a service once the first
-// listing is there and after each change. The context only bounds the wait for
-// the first listing.
-func (r *Registry) WatchTargets(ctx context.Context, group *conc.WaitGroup, s id.Service, notify func([]schedule.Endpoint)) {
-	w := &watcher{notify: notify}
+// WatchTargets calls notify with all targets of a service once the first listing is
+// there, and with each change after that until the context ends.
+func (r *Registry) WatchTargets(ctx context.Context, group *conc.WaitGroup, s id.Service, notify func(schedule.TargetChange)) {
+	w := &watcher{registry: r, service: s, notify: notify}
 	r.mu.Lock()
 	r.watchers[s] = append(r.watchers[s], w)
 	r.mu.Unlock()
-	group.Go(func() { w.run(ctx, r, s) })
+	group.Go(func() { w.run(ctx) })
 }
 
 // firstListingPoll is the interval at which a new watcher checks for the first
 // listing.
 const firstListingPoll = 20 * time.Millisecond
 
-// run passes the current list to a new watcher once the first listing is there.
-func (w *watcher) run(ctx context.Context, r *Registry, s id.Service) {
-	for ctx.Err() == nil && !w.deliverFirst(r, s) {
+// run passes the whole list to a new watcher once the first listing is there, and
+// removes the watcher when the context ends.
+func (w *watcher) run(ctx context.Context) {
+	for ctx.Err() == nil && !w.deliverFirst() {
 		clock.Sleep(ctx, firstListingPoll)
 	}
+	<-ctx.Done()
+	r := w.registry
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.watchers[w.service] = slices.DeleteFunc(r.watchers[w.service], func(other *watcher) bool { return other == w })
+	if len(r.watchers[w.service]) == 0 {
+		delete(r.watchers, w.service)
+	}
 }
 
-func (w *watcher) deliverFirst(r *Registry, s id.Service) bool {
+func (w *watcher) deliverFirst() bool {
+	r := w.registry
 	r.notifyMu.Lock()
 	defer r.notifyMu.Unlock()
 	r.mu.Lock()
-	ready, list := r.view.Revision() > 0, r.view.Targets(s)
+	ready, list := r.view.Revision() > 0, r.view.Targets(w.service)
 	r.mu.Unlock()
 	if ready {
-		w.notify(list)
+		w.started = true
+		w.notify(schedule.TargetChange{Full: true, Listed: list})
 	}
 	return ready
 }
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -120,7 +120,7 @@
 	now := s.clock.Now()
 	switch w[0] {
 	case "self":
-		s.selector = newSourceSelector(daemonNamed(w[1]), len(w) > 2, now)
+		s.selector = newSourceSelector(daemonNamed(w[1]), len(w) > 2, 2*time.Second, now)
 		s.age, s.peerAge = -1, -1
 		return ""
 	case "fleet":
--- a/registry/selector.go
+++ b/registry/selector.go
@@ -8,23 +8,28 @@
 )
 
 const (
-	// minReaders is the least number of daemons that read from the platform; in a
-	// smaller fleet, all of them do. With one reader in each of four failure
+	// minReaders is the least number of readers: of daemons that others follow. In a
+	// smaller fleet, all of them are. With one reader in each of four failure
 	// domains, a follower still finds a healthy one while two domains are lost.
 	minReaders = 4
 	// followersPerReader is the number of daemons per reader in a large fleet. It
-	// bounds how much each reader sends to its followers.
-	followersPerReader = 40
+	// bounds how much each reader sends to its followers: a change of a target is about
+	// a hundred bytes, and a listing of a thousand targets, which all followers get
+	// after a start of the whole fleet, a hundred kilobytes.
+	followersPerReader = 110
 	// followedReaders is how many readers a daemon follows at once. If one of
 	// them fails without an error, the other still delivers changes.
 	followedReaders = 2
-	// maxCopyAge is how old a copy may get before its daemon reads from the
-	// platform itself. A change that the platform acknowledged must be in force
-	// within two seconds, and reading takes some hundreds of milliseconds at
-	// worst.
-	maxCopyAge = 1400 * time.Millisecond
+	// maxCopyAge and standbyCopyAge are how old a copy may get before its daemon reads
+	// from the platform itself, as a share of the time in which an acknowledged change
+	// must be in force: reading takes some hundreds of milliseconds at worst. The first
+	// of the readers reads all the time; the others stand by and read first when it
+	// fails.
+	maxCopyAge     = 0.7
+	standbyCopyAge = 0.55
 	// peerDiscoveryTimeout is how long a starting daemon waits to discover
-	// peers before it reads from the platform, unless it is a seed.
+	// peers before it reads from the platform, and a reader for the copy of another one,
+	// unless it is a seed.
 	peerDiscoveryTimeout = 400 * time.Millisecond
 	// firstCopyTimeout is how long a starting daemon that discovered peers
 	// waits for their copy. Small hosts start slowly, and the daemons of a
@@ -40,7 +45,7 @@
 	// others.
 	failedReaderPenalty = time.Second
 	// fallbackRecoveryTime is how long updates from peers alone must have kept the
-	// age of the copy within maxCopyAge before a daemon leaves fallback.
+	// age of the copy within its limit before a daemon leaves fallback.
 	fallbackRecoveryTime = 2 * time.Second
 )
 
@@ -64,20 +69,21 @@
 	// seed is set if other daemons are configured to contact this one first.
 	seed    bool
 	started time.Time
+	// inForce is the time within which an acknowledged change must be in force.
+	inForce time.Duration
 	// failedAt holds the time of each reader's last failure.
 	failedAt map[id.Host]time.Time
 	// peerAgeAcceptableSince is the time since which the age that the copy would
-	// have by updates from peers alone has been at most maxCopyAge; zero while it
+	// have by updates from peers alone has been within its limit; zero while it
 	// is higher or no peer has sent a copy.
 	peerAgeAcceptableSince time.Time
 	// fallback is set while this daemon reads from the platform because its copy
-	// is missing or too old, designated while it is one of the few that always
-	// read from the platform.
-	fallback, designated bool
+	// is missing or too old, reader while it is one of the readers.
+	fallback, reader bool
 }
 
-func newSourceSelector(self Daemon, seed bool, now time.Time) *sourceSelector {
-	return &sourceSelector{self: self, seed: seed, started: now, failedAt: make(map[id.Host]time.Time)}
+func newSourceSelector(self Daemon, seed bool, inForce time.Duration, now time.Time) *sourceSelector {
+	return &sourceSelector{self: self, seed: seed, started: now, inForce: inForce, failedAt: make(map[id.Host]time.Time)}
 }
 
 // recordFailure records that a reader did not respond, or that its own copy is
@@ -93,8 +99,15 @@
 	return ok
 }
 
-// readerCount returns how many daemons of a fleet always read from the
-// platform.
+// shareOfInForce returns a share of the time within which a change must be in force.
+func (sel *sourceSelector) shareOfInForce(share float64) time.Duration {
+	return time.Duration(share * float64(sel.inForce))
+}
+
+// maxCopyAge returns the age from which on a copy is too old.
+func (sel *sourceSelector) maxCopyAge() time.Duration { return sel.shareOfInForce(maxCopyAge) }
+
+// readerCount returns how many daemons of a fleet are readers.
 func readerCount(fleet int) int { return max(minReaders, fleet/followersPerReader) }
 
 // selectSources returns the sources to read from. The fleet includes this
@@ -103,31 +116,39 @@
 // both are negative while there is no copy.
 func (sel *sourceSelector) selectSources(now time.Time, fleet []Daemon, age, peerAge time.Duration) Sources {
 	readers := fleet[:min(readerCount(len(fleet)), len(fleet))]
-	sel.designated = slices.Contains(readers, sel.self)
-	s := Sources{Platform: sel.designated}
-	if len(fleet) <= 1 && !sel.seed && now.Sub(sel.started) < peerDiscoveryTimeout {
-		s.Platform = false
+	rank := slices.Index(readers, sel.self)
+	sel.reader = rank >= 0
+	limit := sel.maxCopyAge()
+	if rank > 0 {
+		limit = sel.shareOfInForce(standbyCopyAge)
 	}
-	sel.updateFallback(now, len(fleet) > 1, age, peerAge)
-	s.Platform = s.Platform || sel.fallback
+	sel.updateFallback(now, limit, len(fleet) > 1, age, peerAge)
+	// A daemon that has just started does not know the others yet, and would take itself
+	// for the first reader.
+	settled := sel.seed || now.Sub(sel.started) >= firstCopyTimeout
+	s := Sources{Platform: rank == 0 && settled || sel.fallback}
 	s.Peers = sel.selectPeers(now, readers)
 	return s
 }
 
 // updateFallback decides whether this daemon must read from the platform itself
-// because its copy is missing or too old.
-func (sel *sourceSelector) updateFallback(now time.Time, foundPeers bool, age, peerAge time.Duration) {
-	if peerAge < 0 || peerAge > maxCopyAge {
+// because its copy is missing or older than a limit.
+func (sel *sourceSelector) updateFallback(now time.Time, limit time.Duration, foundPeers bool, age, peerAge time.Duration) {
+	if peerAge < 0 || peerAge > limit {
 		sel.peerAgeAcceptableSince = time.Time{}
 	} else if sel.peerAgeAcceptableSince.IsZero() {
 		sel.peerAgeAcceptableSince = now
 	}
 	switch {
 	case age < 0 && foundPeers:
-		sel.fallback = now.Sub(sel.started) >= firstCopyTimeout
+		timeout := firstCopyTimeout
+		if sel.reader {
+			timeout = peerDiscoveryTimeout
+		}
+		sel.fallback = now.Sub(sel.started) >= timeout
 	case age < 0:
 		sel.fallback = now.Sub(sel.started) >= peerDiscoveryTimeout
-	case age > maxCopyAge:
+	case age > limit:
 		sel.fallback = true
 	case !sel.peerAgeAcceptableSince.IsZero() && now.Sub(sel.peerAgeAcceptableSince) >= fallbackRecoveryTime:
 		sel.fallback = false
@@ -137,7 +158,7 @@
 // retryDelayLimit returns the longest pause between two failed calls to the
 // platform for a daemon that follows the given number of readers.
 func (sel *sourceSelector) retryDelayLimit(followedCount int) time.Duration {
-	if sel.fallback && !sel.designated && followedCount > 0 {
+	if sel.fallback && !sel.reader && followedCount > 0 {
 		return fallbackMaxDelay
 	}
 	return maxRetryDelay
@@ -146,9 +167,10 @@
 // selectPeers returns the readers to follow: those of the daemon's own failure
 // domain first, then the others, and last those that failed recently. Each
 // daemon starts at a position derived from its own name, which spreads
-// followers over the readers.
+// followers over the readers. A reader follows the first one before all others, so that
+// a change takes two steps to any daemon.
 func (sel *sourceSelector) selectPeers(now time.Time, readers []Daemon) []id.Host {
-	var sameDomain, otherDomains, failed []id.Host
+	var first, sameDomain, otherDomains, failed []id.Host
 	start := 0
 	for _, b := range []byte(sel.self.Host) {
 		start = start*31 + int(b)
@@ -159,12 +181,14 @@
 		case r.Host == sel.self.Host:
 		case sel.recentlyFailed(now, r.Host):
 			failed = append(failed, r.Host)
+		case sel.reader && r == readers[0]:
+			first = append(first, r.Host)
 		case r.FailureDomain == sel.self.FailureDomain:
 			sameDomain = append(sameDomain, r.Host)
 		default:
 			otherDomains = append(otherDomains, r.Host)
 		}
 	}
-	list := slices.Concat(sameDomain, otherDomains, failed)
+	list := slices.Concat(first, sameDomain, otherDomains, failed)
 	return list[:min(followedReaders, len(list))]
 }
--- a/registry/view.go
+++ b/registry/view.go
@@ -79,8 +79,17 @@
 // it return the updates that took effect, which are passed on to the followers
 // of this daemon. It is not safe for concurrent use.
 type View struct {
-	revision      Revision
-	targets       map[id.Target]*targetRecord
+	revision Revision
+	// targets is changed by setRecord and deleteRecord only.
+	targets map[id.Target]*targetRecord
+	// byAddress holds the registered targets at each address. There are several if the
+	// address was reassigned before the earlier target's registration ended.
+	byAddress map[id.Address][]id.Target
+	// expiring holds the targets with a delayed removal and those that are gone.
+	expiring map[id.Target]bool
+	// changed holds the targets that may have become usable or unusable, or changed,
+	// since the last call of TakeChanged.
+	changed       map[id.Target]bool
 	configuration Update
 	// platformDown is set from MarkPlatformDown until the platform responds again.
 	platformDown bool
@@ -89,7 +98,77 @@
 	graceUntil time.Time
 }
 
-func NewView() *View { return &View{targets: make(map[id.Target]*targetRecord)} }
+func NewView() *View {
+	return &View{
+		targets: make(map[id.Target]*targetRecord), byAddress: make(map[id.Address][]id.Target),
+		expiring: make(map[id.Target]bool), changed: make(map[id.Target]bool),
+	}
+}
+
+// setRecord sets what is known of a target.
+func (v *View) setRecord(name id.Target, rec *targetRecord) {
+	v.forgetAddress(name)
+	v.targets[name] = rec
+	v.changed[name] = true
+	if rec.update.Entry == nil {
+		v.expiring[name] = true
+		return
+	}
+	delete(v.expiring, name)
+	address := rec.update.Entry.Address
+	for _, other := range v.byAddress[address] {
+		v.changed[other] = true
+	}
+	v.byAddress[address] = append(v.byAddress[address], name)
+}
+
+// deleteRecord forgets a target.
+func (v *View) deleteRecord(name id.Target) {
+	v.forgetAddress(name)
+	delete(v.targets, name)
+	delete(v.expiring, name)
+}
+
+// forgetAddress removes a target from the index of addresses.
+func (v *View) forgetAddress(name id.Target) {
+	rec := v.targets[name]
+	if rec == nil || rec.update.Entry == nil {
+		return
+	}
+	address := rec.update.Entry.Address
+	others := slices.DeleteFunc(v.byAddress[address], func(other id.Target) bool { return other == name })
+	if len(others) == 0 {
+		delete(v.byAddress, address)
+		return
+	}
+	v.byAddress[address] = others
+	for _, other := range others {
+		v.changed[other] = true
+	}
+}
+
+// TakeChanged returns the targets that may have changed since the last call.
+func (v *View) TakeChanged() []id.Target {
+	list := slices.Sorted(maps.Keys(v.changed))
+	v.changed = make(map[id.Target]bool)
+	return list
+}
+
+// Listed returns the registration of a target that may be used. If several targets
+// have the same address, that is only the one registered last, because the address was
+// reassigned.
+func (v *View) Listed(name id.Target) (Entry, bool) {
+	rec := v.targets[name]
+	if rec == nil || rec.update.Entry == nil {
+		return Entry{}, false
+	}
+	for _, other := range v.byAddress[rec.update.Entry.Address] {
+		if v.targets[other].update.Revision > rec.update.Revision {
+			return Entry{}, false
+		}
+	}
+	return *rec.update.Entry, true
+}
 
 func (v *View) Revision() Revision { return v.revision }
 
@@ -135,7 +214,7 @@
 		if rec := v.targets[u.Target]; rec != nil && rec.revision() >= u.Revision {
 			return nil
 		}
-		v.targets[u.Target] = &targetRecord{update: u}
+		v.setRecord(u.Target, &targetRecord{update: u})
 	}
 	return []Update{u}
 }
@@ -164,17 +243,18 @@
 	rec := v.targets[u.Target]
 	switch {
 	case rec == nil:
-		v.targets[u.Target] = &targetRecord{update: u, removedAt: now}
+		v.setRecord(u.Target, &targetRecord{update: u, removedAt: now})
 		return nil
 	case rec.update.Entry == nil || rec.update.Revision >= u.Revision:
 		return nil
 	case mayHaveLapsed:
 		if rec.delayedRemoval == nil {
 			rec.delayedRemoval, rec.removalDue = &u, v.graceUntil
+			v.expiring[u.Target] = true
 		}
 		return nil
 	}
-	v.targets[u.Target] = &targetRecord{update: u, removedAt: now}
+	v.setRecord(u.Target, &targetRecord{update: u, removedAt: now})
 	return []Update{u}
 }
 
@@ -182,15 +262,18 @@
 // not respond. It deletes the records of targets that were removed more than
 // removalRetention ago.
 func (v *View) Expire(now time.Time) []Update {
+	if len(v.expiring) == 0 {
+		return nil
+	}
 	var applied []Update
-	for _, name := range slices.Sorted(maps.Keys(v.targets)) {
+	for _, name := range slices.Sorted(maps.Keys(v.expiring)) {
 		rec := v.targets[name]
 		switch {
 		case rec.delayedRemoval != nil && !now.Before(rec.removalDue) && !v.platformDown:
 			applied = append(applied, *rec.delayedRemoval)
-			v.targets[name] = &targetRecord{update: *rec.delayedRemoval, removedAt: now}
+			v.setRecord(name, &targetRecord{update: *rec.delayedRemoval, removedAt: now})
 		case rec.update.Entry == nil && now.Sub(rec.removedAt) >= removalRetention:
-			delete(v.targets, name)
+			v.deleteRecord(name)
 		}
 	}
 	return applied
@@ -228,23 +311,15 @@
 // Configuration returns the newest configuration document, or nil.
 func (v *View) Configuration() []byte { return v.configuration.Configuration }
 
-// Targets returns the targets of a service, sorted by id. If several targets
-// have the same address, only the one registered last is included, because the
-// address was reassigned.
+// Targets returns the targets of a service that may be used, sorted by id.
 func (v *View) Targets(s id.Service) []schedule.Endpoint {
-	newest := make(map[id.Address]*targetRecord)
-	for _, rec := range v.targets {
-		if rec.update.Entry == nil {
+	var list []schedule.Endpoint
+	for name, rec := range v.targets {
+		if rec.update.Entry == nil || rec.update.Entry.Service != s {
 			continue
 		}
-		if other := newest[rec.update.Entry.Address]; other == nil || other.update.Revision < rec.update.Revision {
-			newest[rec.update.Entry.Address] = rec
-		}
-	}
-	var list []schedule.Endpoint
-	for _, rec := range newest {
-		if rec.update.Entry.Service == s {
-			list = append(list, rec.update.Entry.Endpoint)
+		if e, ok := v.Listed(name); ok {
+			list = append(list, e.Endpoint)
 		}
 	}
 	slices.SortFunc(list, func(a, b schedule.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
--- a/schedule/benchmark_test.go
+++ b/schedule/benchmark_test.go
@@ -23,7 +23,7 @@
 		name := fmt.Sprintf("t%04d", i)
 		list = append(list, Endpoint{ID: id.Target(name), Address: id.Address(name)})
 	}
-	s.SetTargets(time.Unix(0, 0), list)
+	s.UpdateTargets(time.Unix(0, 0), TargetChange{Full: true, Listed: list})
 	return s
 }
 
--- a/schedule/choice.go
+++ b/schedule/choice.go
@@ -53,7 +53,7 @@
 	inputs.Chosen = choice
 	g := &grant{job: job, target: t, startedAt: now, suspect: s.quarantine.Suspect(job.Fingerprint), overcommitted: overcommitted, pending: overcommitted}
 	t.running++
-	t.unsent.changed = true
+	s.markUnsent(t)
 	t.lastUsed = now
 	t.long += boolToInt(job.Route.Long)
 	t.suspect += boolToInt(g.suspect)
--- a/schedule/result.go
+++ b/schedule/result.go
@@ -57,9 +57,9 @@
 		t.observe(now, o)
 		t.recordUnsent(o)
 	}
-	t.unsent.changed = true
+	s.markUnsent(t)
 	s.applyResult(now, g, r)
-	s.updateUnavailable(now)
+	s.updateUnavailable(now, t)
 }
 
 // startPending marks the oldest pending job of a target as started.
@@ -120,6 +120,7 @@
 	case outcome.Declined:
 		t.resetBackoff()
 		t.lowerLimit(now)
+		s.markRising(t)
 		return
 	case outcome.Lost, outcome.WriteFailed:
 		t.startBackoff(now)
@@ -196,24 +197,41 @@
 		elapsed = 0
 	}
 	s.lastTick = now
-	for _, t := range s.targets {
-		t.raiseLimit(elapsed, s.slots(t.endpoint))
-	}
+	s.rising = slices.DeleteFunc(s.rising, func(t *target) bool {
+		t.rising = !t.raiseLimit(elapsed, s.slots(t.endpoint))
+		return !t.rising
+	})
 	for _, st := range s.serviceTimes {
 		st.decay(elapsed)
 	}
 	for _, name := range s.quarantine.Expire(now) {
 		s.observe(now, health.Sample{Target: name, Wrong: true})
 	}
-	s.updateUnavailable(now)
 	s.markOverdue(now)
 	if s.policy.Evidence == 0 {
 		return
 	}
+	for _, t := range s.targets {
+		s.updateUnavailable(now, t)
+	}
 	s.health.Tick(now)
 	s.counts.Ejected += int64(len(s.health.ObserveRunning(now, s.runningSamples(now))))
 }
 
+// markRising makes ticks raise the limit of a target until it has reached its slots.
+func (s *Scheduler) markRising(t *target) {
+	if !t.rising {
+		t.rising = true
+		s.rising = append(s.rising, t)
+	}
+}
+
+// Idle reports whether ticks change nothing until the next job arrives. Ejections end
+// with time, so that a service that ejects targets is never idle.
+func (s *Scheduler) Idle(now time.Time) bool {
+	return s.policy.Evidence == 0 && len(s.granted) == 0 && s.queue.len() == 0 && len(s.rising) == 0 && s.requests.sum(now) == (bucket{})
+}
+
 func (s *Scheduler) runningSamples(now time.Time) []health.Running {
 	list := make([]health.Running, 0, len(s.granted))
 	for _, ticket := range slices.Sorted(maps.Keys(s.granted)) {
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -123,7 +123,7 @@
 		name, leaving := strings.CutSuffix(n, "!")
 		list = append(list, Endpoint{ID: id.Target(name), Address: id.Address(name), Leaving: leaving})
 	}
-	s.scheduler.SetTargets(s.clock.Now(), list)
+	s.scheduler.UpdateTargets(s.clock.Now(), TargetChange{Full: true, Listed: list})
 	return s.next()
 }
 
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -3,7 +3,7 @@
 package schedule
 
 import (
-	"maps"
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -103,7 +103,12 @@
 	statements *statement.Table
 	// targets is ordered by ID, so that the same calls with the same random seed
 	// give the same decisions.
-	targets      []*target
+	targets []*target
+	byID    map[id.Target]*target
+	// rising holds the targets whose limit may be below their slots.
+	rising []*target
+	// unsent holds the targets that the next sightings report.
+	unsent       []*target
 	granted      map[Ticket]*grant
 	queue        queue
 	serviceTimes map[id.Route]*serviceTime
@@ -127,6 +132,7 @@
 		health:       health.New(healthConfig(policy)),
 		quarantine:   suspects,
 		statements:   statement.New(),
+		byID:         make(map[id.Target]*target),
 		granted:      make(map[Ticket]*grant),
 		serviceTimes: make(map[id.Route]*serviceTime),
 		replicas:     1,
@@ -144,45 +150,91 @@
 
 // SetPolicy replaces the policy. Running and waiting jobs are kept.
 func (s *Scheduler) SetPolicy(policy *configuration.Service) {
+	if policy.Slots != s.policy.Slots {
+		for _, t := range s.targets {
+			s.markRising(t)
+		}
+	}
 	s.policy = policy
 	s.queue.shares = policy.Shares
 	s.health.SetConfig(healthConfig(policy))
 }
 
-// SetTargets replaces the list of targets. State is kept for entries that
-// describe the same process as before; any other entry is a new target.
-func (s *Scheduler) SetTargets(now time.Time, list []Endpoint) {
-	known := make(map[id.Target]*target)
-	for _, t := range s.targets {
-		known[t.endpoint.ID] = t
-	}
+// UpdateTargets applies a change of the list of targets. State is kept for entries that
+// describe the same process as before; any other entry is a new target. The cost depends
+// on the size of the change, except that pointers to the targets may be moved.
+func (s *Scheduler) UpdateTargets(now time.Time, c TargetChange) {
 	initial := len(s.targets) == 0
-	next := make(map[id.Target]*target)
-	for _, e := range list {
-		t := known[e.ID]
+	if c.Full {
+		c.Gone = s.unlisted(c.Listed)
+	}
+	for _, name := range c.Gone {
+		s.removeTarget(name)
+	}
+	for _, e := range c.Listed {
+		t := s.byID[e.ID]
 		if t == nil || !t.endpoint.SameProcess(e) {
 			t = s.newTarget(now, e, initial)
+			s.putTarget(t)
+		}
+		if e.Leaving || t.endpoint.Leaving {
+			t.lastLeavingSign = now
 		}
 		t.endpoint = e
-		if e.Leaving {
-			t.markLeaving(now)
+		t.leaving = t.leaving || e.Leaving
+		s.markRising(t)
+		s.updateUnavailable(now, t)
+	}
+}
+
+// unlisted returns the known targets that a list lacks.
+func (s *Scheduler) unlisted(list []Endpoint) []id.Target {
+	listed := make(map[id.Target]bool, len(list))
+	for _, e := range list {
+		listed[e.ID] = true
+	}
+	var gone []id.Target
+	for _, t := range s.targets {
+		if !listed[t.endpoint.ID] {
+			gone = append(gone, t.endpoint.ID)
 		}
-		next[e.ID] = t
 	}
-	names := slices.Sorted(maps.Keys(next))
-	s.targets = s.targets[:0]
-	for _, name := range names {
-		s.targets = append(s.targets, next[name])
+	return gone
+}
+
+// putTarget adds a target, or replaces the one of the same ID.
+func (s *Scheduler) putTarget(t *target) {
+	name := t.endpoint.ID
+	i, found := s.position(name)
+	if found {
+		s.targets[i] = t
+	} else {
+		s.targets = slices.Insert(s.targets, i, t)
+		s.health.AddTarget(name)
+	}
+	s.byID[name] = t
+}
+
+func (s *Scheduler) removeTarget(name id.Target) {
+	i, found := s.position(name)
+	if !found {
+		return
 	}
-	s.health.SetTargets(names)
-	s.updateUnavailable(now)
+	s.targets = slices.Delete(s.targets, i, i+1)
+	delete(s.byID, name)
+	s.health.RemoveTarget(name)
+}
+
+// position returns where a target is, or where it has to be inserted.
+func (s *Scheduler) position(name id.Target) (int, bool) {
+	return slices.BinarySearchFunc(s.targets, name, func(t *target, name id.Target) int { return cmp.Compare(t.endpoint.ID, name) })
 }
 
 // newTarget returns a target that warms up, unless it is in the initial list (the
 // first list, or the first after an empty one). Otherwise a daemon that starts
 // would give every target of the service reduced capacity.
 func (s *Scheduler) newTarget(now time.Time, e Endpoint, initial bool) *target {
-	t := &target{limit: float64(s.slots(e)), warmupStart: now}
+	t := &target{endpoint: e, limit: float64(s.slots(e)), warmupStart: now}
 	if initial {
 		t.warmupStart = now.Add(-s.policy.Warmup)
 	} else {
@@ -206,27 +258,23 @@
 	for _, t := range s.targets {
 		if t.endpoint.Address == address && s.markServing(now, t) {
 			back = true
+			s.updateUnavailable(now, t)
 		}
 	}
-	s.updateUnavailable(now)
 	return back
 }
 
 // SetUnreachable records a failed connection to a target.
 func (s *Scheduler) SetUnreachable(now time.Time, name id.Target) {
-	for _, t := range s.targets {
-		if t.endpoint.ID == name {
-			t.startBackoff(now)
-		}
+	if t := s.byID[name]; t != nil {
+		t.startBackoff(now)
 	}
 }
 
-// updateUnavailable tells the health detector which targets cannot take traffic
-// because they are leaving or unreachable.
-func (s *Scheduler) updateUnavailable(now time.Time) {
-	for _, t := range s.targets {
-		s.health.SetUnavailable(t.endpoint.ID, s.leaving(now, t) || now.Before(t.backoffUntil))
-	}
+// updateUnavailable tells the health detector whether a target cannot take traffic
+// because it is leaving or unreachable.
+func (s *Scheduler) updateUnavailable(now time.Time, t *target) {
+	s.health.SetUnavailable(t.endpoint.ID, s.leaving(now, t) || now.Before(t.backoffUntil))
 }
 
 // Arrive grants, queues or refuses a new job.
--- a/schedule/sighting.go
+++ b/schedule/sighting.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/briarrouter/briarrouter/id"
@@ -72,8 +74,9 @@
 // granted or finished since the last call.
 func (s *Scheduler) Sightings() []Sighting {
 	var list []Sighting
-	for _, t := range s.targets {
-		if !t.unsent.changed {
+	slices.SortFunc(s.unsent, func(a, b *target) int { return cmp.Compare(a.endpoint.ID, b.endpoint.ID) })
+	for _, t := range s.unsent {
+		if s.byID[t.endpoint.ID] != t {
 			continue
 		}
 		list = append(list, Sighting{
@@ -82,9 +85,18 @@
 		})
 		t.unsent = unsentSighting{}
 	}
+	s.unsent = s.unsent[:0]
 	return list
 }
 
+// markUnsent makes the next sightings report a target.
+func (s *Scheduler) markUnsent(t *target) {
+	if !t.unsent.changed {
+		t.unsent.changed = true
+		s.unsent = append(s.unsent, t)
+	}
+}
+
 // Snapshot returns a sighting with the accumulated estimate of each target
 // that has one, for a daemon that begins to follow this one.
 func (s *Scheduler) Snapshot(now time.Time) []Sighting {
@@ -107,10 +119,8 @@
 // or are listed with another incarnation.
 func (s *Scheduler) ApplySightings(now time.Time, from id.Host, list []Sighting) {
 	for _, sighting := range list {
-		for _, t := range s.targets {
-			if t.endpoint.ID == sighting.Target && t.endpoint.Incarnation == sighting.Incarnation {
-				t.applySighting(now, from, sighting)
-			}
+		if t := s.byID[sighting.Target]; t != nil && t.endpoint.Incarnation == sighting.Incarnation {
+			t.applySighting(now, from, sighting)
 		}
 	}
 }
--- a/schedule/simulation_test.go
+++ b/schedule/simulation_test.go
@@ -157,7 +157,7 @@
 		s := New(p, quarantine.New(), rand.New(rand.NewPCG(uint64(d), 1)))
 		s.SetFailureDomain(sim.failureDomain(d))
 		s.SetReplicas(daemons)
-		s.SetTargets(sim.now, sim.endpoints(0))
+		s.UpdateTargets(sim.now, TargetChange{Full: true, Listed: sim.endpoints(0)})
 		sim.schedulers = append(sim.schedulers, s)
 		sim.waiting = append(sim.waiting, make(map[Ticket]func(Decision)))
 		sim.after(0, func() { sim.tick(d) })
@@ -167,7 +167,7 @@
 		sim.after(duration/2, func() {
 			sim.firstTarget = int(l.removedShare * float64(l.targets))
 			for _, s := range sim.schedulers {
-				s.SetTargets(sim.now, sim.endpoints(sim.firstTarget))
+				s.UpdateTargets(sim.now, TargetChange{Full: true, Listed: sim.endpoints(sim.firstTarget)})
 			}
 		})
 	}
--- a/schedule/spread_test.go
+++ b/schedule/spread_test.go
@@ -30,7 +30,7 @@
 		for _, name := range []string{"answered", "declined", "failed", "reported"} {
 			list = append(list, Endpoint{ID: id.Target(name), Address: id.Address(name)})
 		}
-		s.SetTargets(now, list)
+		s.UpdateTargets(now, TargetChange{Full: true, Listed: list})
 		route := &configuration.Route{Name: "work"}
 		for i, r := range []Result{{Ending: outcome.Answered}, {Ending: outcome.Declined}, {Ending: outcome.Answered, Wrong: true}} {
 			job := Job{Ticket: Ticket(i), Route: route, Deadline: now.Add(time.Minute)}
@@ -68,7 +68,7 @@
 		for i := range 20 {
 			list = append(list, Endpoint{ID: id.Target(fmt.Sprint(i)), Address: id.Address(fmt.Sprint(i))})
 		}
-		s.SetTargets(now, list)
+		s.UpdateTargets(now, TargetChange{Full: true, Listed: list})
 		for range 3 {
 			s.targets[0].observe(now, suspicion.FastFailure)
 		}
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -35,6 +35,16 @@
 	return e.ID == f.ID && e.Address == f.Address && e.Incarnation == f.Incarnation
 }
 
+// TargetChange is a change of the targets that a platform lists for a service.
+type TargetChange struct {
+	// Full means that Listed is the whole list: targets that it lacks are gone.
+	Full bool
+	// Listed holds the targets that were added or changed, each at most once.
+	Listed []Endpoint
+	// Gone holds targets that are no longer listed. It may name unknown targets.
+	Gone []id.Target
+}
+
 const (
 	minDialBackoff = 100 * time.Millisecond
 	maxDialBackoff = 2 * time.Second
@@ -57,6 +67,8 @@
 	// and rises at limitRecoveryRate by a fraction of a slot in each tick. The target
 	// may be given more requests than the limit, see full.
 	limit float64
+	// rising tells that the target is in Scheduler.rising.
+	rising bool
 	// overcommitAfter is when the target may again be given a request beyond its
 	// slots, after it declined a request.
 	overcommitAfter time.Time
@@ -174,7 +186,9 @@
 	t.overcommitAfter = now.Add(overcommitPause)
 }
 
-// raiseLimit raises the limit towards the declared slots.
-func (t *target) raiseLimit(elapsed time.Duration, slots unit.Slots) {
+// raiseLimit raises the limit towards the declared slots, and reports whether it has
+// reached them.
+func (t *target) raiseLimit(elapsed time.Duration, slots unit.Slots) bool {
 	t.limit = min(float64(slots), t.limit+limitRecoveryRate*elapsed.Seconds())
+	return t.limit == float64(slots)
 }
