A planned stop takes only what can end before the cut, and waits for requests only

Change: package departure decides, without network or clock: until callers' addresses expire all is taken, then what ends before the cut by its deadline or by seven times its usual duration; the rest gets 503, not run, at once. 0.3 s before the end, requests are cancelled: those that wait for a target get 503, the others 504 (unknown), in place of a closed connection. message.Server.Stop waits for requests only; peers, operators and address lookups use it.

Ruled out: half a request on a caller's connection does not delay a stop (script stophalf).

SendEndless takes an interface, since servers are of the new type.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/departure"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/kernel"
 	"github.com/briarrouter/briarrouter/memory"
@@ -82,6 +83,9 @@
 	// draining is set when Stop begins; from then on every response closes its
 	// connection.
 	draining atomic.Bool
+	// departure is the plan of the stop in progress; nil if there is none, or if it
+	// waits for all requests.
+	departure atomic.Pointer[departure.Plan]
 
 	mu sync.Mutex
 	// connections is the set of open connections, guarded by mu.
@@ -205,11 +209,19 @@
 // serve callers that still hold its address until the hold time and the leave
 // margin have passed, and then waits for the requests in progress. Meanwhile
 // every response closes its connection, so that callers move to other daemons.
-// When ctx ends, the remaining connections are closed.
+// Shortly before ctx ends, the requests in progress are cancelled, and then the
+// remaining connections are closed.
 func (s *Server) Stop(ctx context.Context) error {
 	s.membership.Leave()
-	s.draining.Store(true)
 	timing := s.timing.Load()
+	if end, ok := ctx.Deadline(); ok {
+		cutAt := end.Add(-lastResponseTime)
+		s.departure.Store(&departure.Plan{HeldUntil: time.Now().Add(timing.Hold), CutAt: cutAt})
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, cutAt)
+		defer cancel()
+	}
+	s.draining.Store(true)
 	s.cfg.Log.Info().Dur("Hold", timing.Hold).Int("Connections", s.connectionCount()).Msg("leaving; callers that hold this address are served")
 	timer := time.NewTimer(timing.Hold + timing.LeaveMargin)
 	defer timer.Stop()
@@ -219,12 +231,31 @@
 	}
 	err := s.listener.Close()
 	s.closeIdle()
-	s.awaitConnections(ctx)
+	if !s.awaitConnections(ctx) {
+		s.cancelRequests()
+		last, cancel := context.WithTimeout(context.Background(), lastResponseTime/2)
+		defer cancel()
+		s.awaitConnections(last)
+	}
 	s.closeConnections()
 	s.group.Wait()
 	return err
 }
 
+// lastResponseTime is how long before the end of a stop the requests in progress are
+// cancelled. Half of it is for their responses, half for the stop of the other services.
+const lastResponseTime = 300 * time.Millisecond
+
+// cancelRequests cancels the requests in progress. Those that wait for a target are
+// rejected, as they have not run.
+func (s *Server) cancelRequests() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.connections {
+		c.cancelCause(errCutOff)
+	}
+}
+
 func (s *Server) connectionCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -239,16 +270,18 @@
 	}
 }
 
-// awaitConnections waits until every connection has ended or ctx ends.
-func (s *Server) awaitConnections(ctx context.Context) {
+// awaitConnections waits until every connection has ended or ctx ends, and reports
+// whether all have ended.
+func (s *Server) awaitConnections(ctx context.Context) bool {
 	for s.connectionCount() > 0 {
 		select {
 		case <-s.connectionEnded:
 		case <-ctx.Done():
-			s.cfg.Log.Warn().Int("Connections", s.connectionCount()).Msg("stop timeout expired; closing the remaining connections")
-			return
+			s.cfg.Log.Warn().Int("Connections", s.connectionCount()).Msg("stop timeout expired; requests in progress are cut off")
+			return false
 		}
 	}
+	return true
 }
 
 func (s *Server) closeConnections() {
--- a/caller/connection.go
+++ b/caller/connection.go
@@ -30,9 +30,21 @@
 	header *headerReader
 	reader *bufio.Reader
 	writer *bufio.Writer
-	// ctx is cancelled when the caller disconnects.
-	ctx    context.Context
-	cancel context.CancelFunc
+	// ctx is cancelled when the caller disconnects, and with the cause errCutOff at the
+	// end of a stop.
+	ctx         context.Context
+	cancelCause context.CancelCauseFunc
+}
+
+// errCutOff is the cause for which the requests that are in progress at the end of a
+// stop are cancelled.
+var errCutOff = errors.New("the daemon is being stopped")
+
+func (c *connection) cancel() { c.cancelCause(nil) }
+
+// callerGone reports whether the caller disconnected.
+func (c *connection) callerGone() bool {
+	return c.ctx.Err() != nil && !errors.Is(context.Cause(c.ctx), errCutOff)
 }
 
 const (
@@ -48,7 +60,7 @@
 
 func newConnection(s *Server, nc net.Conn) *connection {
 	c := &connection{server: s, conn: nc}
-	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.ctx, c.cancelCause = context.WithCancelCause(context.Background())
 	c.input = newReceiveBuffer(nc, c.cancel)
 	c.header = &headerReader{input: c.input, remaining: -1}
 	c.reader = bufio.NewReaderSize(c.header, readBufferSize)
@@ -176,9 +188,13 @@
 		return false
 	}
 	c.setReadDeadline(0)
+	req.Departure = s.departure.Load()
 	started := time.Now()
 	response := s.handler.Handle(c.ctx, req)
-	s.logResponse(req, response, time.Since(started), c.ctx.Err() != nil)
+	if response.Reason == work.CallerGone && !c.callerGone() {
+		response = work.Refuse(response.Outcome, response.Status, work.Leaving)
+	}
+	s.logResponse(req, response, time.Since(started), c.callerGone())
 	if !x.write(response) {
 		return false
 	}
@@ -316,7 +332,7 @@
 		err = c.writer.Flush()
 	}
 	if err != nil {
-		c.server.cfg.Log.Info().Str("Request", string(x.id)).Int("Status", response.Status).Bool("CallerGone", c.ctx.Err() != nil).
+		c.server.cfg.Log.Info().Str("Request", string(x.id)).Int("Status", response.Status).Bool("CallerGone", c.callerGone()).
 			AnErr("Cause", err).Msg("answer was not written whole")
 	}
 	return err == nil
--- a/caller/connection_test.go
+++ b/caller/connection_test.go
@@ -117,7 +117,15 @@
 	case "disconnect":
 		s.client.Close()
 	case "stop":
-		s.stops.Go(func() { s.server.Stop(context.Background()) })
+		ctx, cancel := context.Background(), func() {}
+		if len(w) > 1 {
+			d, _ := time.ParseDuration(w[1])
+			ctx, cancel = context.WithTimeout(ctx, d)
+		}
+		s.stops.Go(func() {
+			defer cancel()
+			s.server.Stop(ctx)
+		})
 	}
 	synctest.Wait()
 	s.mu.Lock()
@@ -149,11 +157,16 @@
 		case <-timer.C:
 		case <-ctx.Done():
 			s.recordCall(req.Path + " cancelled")
+			return work.Refuse(outcome.Unknown, http.StatusGatewayTimeout, work.CallerGone)
 		}
 	}
 	text := req.Path[1:]
 	response := work.Response{Outcome: outcome.Ran, Status: http.StatusOK, Buffered: []byte(text), Size: unit.Bytes(len(text))}
 	switch req.Path {
+	case "/departure":
+		if p := req.Departure; p != nil {
+			s.recordCall(fmt.Sprintf("held until %s, cut off at %s", p.HeldUntil.Sub(s.started), p.CutAt.Sub(s.started)))
+		}
 	case "/cut":
 		response.Size, response.Rest = 100, io.NopCloser(io.MultiReader(strings.NewReader("half"), failingReader{}))
 	case "/stream":
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -14,6 +14,7 @@
 
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/kernel"
+	"github.com/briarrouter/briarrouter/message"
 	"github.com/julienschmidt/httprouter"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
@@ -48,7 +49,7 @@
 type Server struct {
 	cfg    Config
 	kernel *kernel.Kernel
-	server *http.Server
+	server *message.Server
 	group  conc.WaitGroup
 }
 
@@ -74,7 +75,7 @@
 	r.GET(ReadyPath, s.ready)
 	r.Handler(http.MethodGet, MetricsPath, metricService.Handler())
 	r.HandlerFunc(http.MethodGet, ProfilePath, pprof.Profile)
-	s.server = &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout}
+	s.server = message.NewServer(&http.Server{Handler: r, ReadHeaderTimeout: headerTimeout})
 	s.group.Go(func() { s.run(listener) })
 	return nil
 }
@@ -87,7 +88,7 @@
 
 // Stop closes the listener and waits for the requests in progress.
 func (s *Server) Stop(ctx context.Context) error {
-	err := s.server.Shutdown(ctx)
+	err := s.server.Stop(ctx)
 	s.group.Wait()
 	return err
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -21,6 +21,7 @@
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/kernel"
 	"github.com/briarrouter/briarrouter/memory"
+	"github.com/briarrouter/briarrouter/message"
 	"github.com/briarrouter/briarrouter/quarantine"
 	"github.com/briarrouter/briarrouter/roster"
 	"github.com/briarrouter/briarrouter/router"
@@ -102,7 +103,7 @@
 	// kernel is used to find the handler of relayed requests when one arrives.
 	// The handler needs this Service and therefore starts after it.
 	kernel *kernel.Kernel
-	server *http.Server
+	server *message.Server
 	cancel context.CancelFunc
 	ctx    context.Context
 	// streamContext is the context of the streams that this daemon sends. It is
@@ -178,12 +179,12 @@
 	return nil
 }
 
-func (s *Service) newServer() *http.Server {
-	return &http.Server{
+func (s *Service) newServer() *message.Server {
+	return message.NewServer(&http.Server{
 		Handler:           s.routes(),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    2 * int(s.cfg.Limits.RequestHeader),
-	}
+	})
 }
 
 // AddSeeds adds seed addresses. Addresses that were added earlier are still
@@ -210,7 +211,7 @@
 // until ctx ends, and then stops the probes.
 func (s *Service) Stop(ctx context.Context) error {
 	s.cancelStreams()
-	err := s.server.Shutdown(ctx)
+	err := s.server.Stop(ctx)
 	s.cancel()
 	s.group.Wait()
 	s.mu.Lock()
--- a/router/router.go
+++ b/router/router.go
@@ -12,6 +12,7 @@
 
 	"github.com/briarrouter/briarrouter/clock"
 	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/departure"
 	"github.com/briarrouter/briarrouter/dispatch"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/idempotency"
@@ -62,6 +63,9 @@
 	Prepare(s *configuration.Service)
 	// SetReplicas sets the replicas: the daemons that callers are directed to.
 	SetReplicas(replicas dispatch.Replicas)
+	// MeanServiceTime returns the mean duration of a route's requests at the targets of
+	// a service; zero if none has been observed.
+	MeanServiceTime(s id.Service, r id.Route) time.Duration
 }
 
 // peers gives access to the other daemons.
@@ -180,12 +184,26 @@
 		req.Deadline = routeDeadline
 	}
 	req.Idempotent = m.Route.Idempotent
+	if !r.takes(req, m) {
+		response := r.refuse(req, purpose, http.StatusServiceUnavailable, work.Leaving)
+		response.RetryAfter = departure.RetryAfter
+		return response
+	}
 	if req.Key != "" && !m.Route.Idempotent && purpose != ToDispatcher {
 		return r.handleKeyed(ctx, req, m)
 	}
 	return r.dispatch(ctx, req, m)
 }
 
+// takes reports whether a stop that is in progress leaves enough time for a request.
+func (r *Router) takes(req *work.Request, m configuration.Match) bool {
+	if req.Departure == nil {
+		return true
+	}
+	usual := r.dispatcher.MeanServiceTime(m.Service.Name, m.Route.Name)
+	return req.Departure.Takes(time.Now(), departure.Request{Deadline: req.Deadline, Usual: usual})
+}
+
 // firstConfigurationTimeout is how long a request waits for the first
 // configuration. A daemon usually receives it within a few hundred milliseconds of
 // its start; if it takes longer, nothing indicates when it will arrive.
--- a/router/simulation_test.go
+++ b/router/simulation_test.go
@@ -140,6 +140,8 @@
 
 func (h *host) SetReplicas(dispatch.Replicas) {}
 
+func (h *host) MeanServiceTime(id.Service, id.Route) time.Duration { return 0 }
+
 func (h *host) Self() roster.Member { return h.member }
 
 // Generation returns a new number on each call, so that the router reads Members
--- a/scripttest/endless.go
+++ b/scripttest/endless.go
@@ -97,10 +97,16 @@
 // limits.
 const ServerReadAhead int64 = 8 << 10
 
+// httpServer is a server of HTTP.
+type httpServer interface {
+	Serve(net.Listener) error
+	Close() error
+}
+
 // SendEndless sends a request to the server, in a testing/synctest bubble: start, and
 // then repeated until the server closes the connection. It returns the first line of
 // the response and the number of bytes sent.
-func SendEndless(t *testing.T, server *http.Server, start, repeated string) (response string, sent int64) {
+func SendEndless(t *testing.T, server httpServer, start, repeated string) (response string, sent int64) {
 	synctest.Test(t, func(t *testing.T) {
 		conn, serverConn := net.Pipe()
 		go server.Serve(&connListener{conn: serverConn, closed: make(chan struct{})})
--- a/work/work.go
+++ b/work/work.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/briarrouter/briarrouter/departure"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/outcome"
 	"github.com/briarrouter/briarrouter/unit"
@@ -39,6 +40,9 @@
 	// Idempotent is set if the request may run more than once. It follows from
 	// the route and is false until that is known.
 	Idempotent bool
+	// Departure is the plan of the stop of the daemon that the request arrived at; nil
+	// while none is in progress.
+	Departure *departure.Plan
 	// Hops is the number of times the request was forwarded to a peer.
 	Hops int
 }
@@ -112,6 +116,8 @@
 	TooManyHops       Reason = "too-many-hops"
 	MemoryLimit       Reason = "memory-limit"
 	RequestTooLarge   Reason = "request-too-large"
+	// Leaving means that the daemon is being stopped before the request could end.
+	Leaving Reason = "leaving"
 )
 
 // Response is the response to a request. Whoever writes it to its receiver calls
