registry: a reader for twenty daemons; only the first four read or stand by

Cause: cut the readers to one for 110 daemons to save calls to the store. But since only the first reader calls it, their number costs none, while 221 followers at 443 daemons make a reader send some 15 KB/s of beats, where a daemon may spend 2 KB/s on control.

Change: one reader for 20 daemons (22 at 443). Those after the fourth do not stand by, so that the loss of the first costs three lists and not twenty; they follow the first one and one that stands by. Fleets of up to 80 daemons keep four readers.

--- a/registry/selector.go
+++ b/registry/selector.go
@@ -10,21 +10,20 @@
 const (
 	// minReaders is the least number of readers: of daemons that others follow. In a
 	// smaller fleet, all of them are. With one reader in each of four failure
-	// domains, a follower still finds a healthy one while two domains are lost.
+	// domains, a follower still finds a healthy one while two domains are lost. Of the
+	// first minReaders, the first one reads from the platform, and the others stand by.
 	minReaders = 4
 	// followersPerReader is the number of daemons per reader in a large fleet. It
-	// bounds how much each reader sends to its followers: a change of a target is about
-	// a hundred bytes, and a listing of a thousand targets, which all followers get
-	// after a start of the whole fleet, a hundred kilobytes.
-	followersPerReader = 110
+	// bounds how much each reader sends to its followers. The first reader is followed
+	// by all others too, so that more readers would not relieve it in a fleet of 940.
+	followersPerReader = 20
 	// followedReaders is how many readers a daemon follows at once. If one of
 	// them fails without an error, the other still delivers changes.
 	followedReaders = 2
 	// maxCopyAge and standbyCopyAge are how old a copy may get before its daemon reads
 	// from the platform itself, as a share of the time in which an acknowledged change
 	// must be in force: reading takes some hundreds of milliseconds at worst. The first
-	// of the readers reads all the time; the others stand by and read first when it
-	// fails.
+	// of the readers reads all the time; those that stand by read first when it fails.
 	maxCopyAge     = 0.7
 	standbyCopyAge = 0.55
 	// peerDiscoveryTimeout is how long a starting daemon waits to discover
@@ -119,7 +118,7 @@
 	rank := slices.Index(readers, sel.self)
 	sel.reader = rank >= 0
 	limit := sel.maxCopyAge()
-	if rank > 0 {
+	if rank > 0 && rank < minReaders {
 		limit = sel.shareOfInForce(standbyCopyAge)
 	}
 	sel.updateFallback(now, limit, len(fleet) > 1, age, peerAge)
@@ -168,27 +167,30 @@
 // domain first, then the others, and last those that failed recently. Each
 // daemon starts at a position derived from its own name, which spreads
 // followers over the readers. A reader follows the first one before all others, so that
-// a change takes two steps to any daemon.
+// a change takes two steps to any daemon, and then one that stands by.
 func (sel *sourceSelector) selectPeers(now time.Time, readers []Daemon) []id.Host {
-	var first, sameDomain, otherDomains, failed []id.Host
+	var first, standby, sameDomain, otherDomains, failed []id.Host
 	start := 0
 	for _, b := range []byte(sel.self.Host) {
 		start = start*31 + int(b)
 	}
 	for i := range readers {
-		r := readers[(i+start%len(readers)+len(readers))%len(readers)]
+		rank := (i + start%len(readers) + len(readers)) % len(readers)
+		r := readers[rank]
 		switch {
 		case r.Host == sel.self.Host:
 		case sel.recentlyFailed(now, r.Host):
 			failed = append(failed, r.Host)
-		case sel.reader && r == readers[0]:
+		case sel.reader && rank == 0:
 			first = append(first, r.Host)
+		case sel.reader && rank < minReaders:
+			standby = append(standby, r.Host)
 		case r.FailureDomain == sel.self.FailureDomain:
 			sameDomain = append(sameDomain, r.Host)
 		default:
 			otherDomains = append(otherDomains, r.Host)
 		}
 	}
-	list := slices.Concat(first, sameDomain, otherDomains, failed)
+	list := slices.Concat(first, standby, sameDomain, otherDomains, failed)
 	return list[:min(followedReaders, len(list))]
 }
