retry: the burst comes a window after a daemon became a replica

Change: a tenth of the burst is the capacity at first; a window after its start the budget gets the smallest burst that was its own all the time. 0.8 of the total is divided instead of 0.85.

--- a/retry/retry.go
+++ b/retry/retry.go
@@ -14,10 +14,16 @@
 // token bucket, and is not safe for concurrent use.
 type Budget struct {
 	cfg Config
-	// tokens is between 0 and the burst; a retry takes one.
+	// tokens is between 0 and the capacity; a retry takes one.
 	tokens float64
 	// quietSince is when a token was last taken or the burst last grew.
 	quietSince time.Time
+	// startedAt is when the daemon last got a burst. granted tells that a whole Window has
+	// passed since then, so that the burst is no longer that of the daemon before it.
+	startedAt time.Time
+	granted   bool
+	// least is the smallest burst since startedAt: what was this daemon's all the time.
+	least float64
 }
 
 type Config struct {
@@ -27,9 +33,9 @@
 	// length Window are at most Burst plus Share times the first attempts in it.
 	Burst float64
 	// Window is the length of the intervals in which the retries of all daemons
-	// together are limited. A budget starts empty and is filled once it was quiet for
-	// that long. If Window is zero, the daemons are limited one by one: Burst is at
-	// least defaultBurst, and a budget starts full.
+	// together are limited. A budget starts empty and with a smaller capacity, and is
+	// filled after that long. If Window is zero, the daemons are limited one by one:
+	// Burst is at least defaultBurst, and a budget starts full.
 	Window time.Duration
 }
 
@@ -46,17 +52,22 @@
 // total until now. With a Window it starts empty: the daemons that this one replaces
 // may have spent their bursts just before.
 func NewBudget(now time.Time, cfg Config) *Budget {
-	b := &Budget{cfg: cfg, quietSince: now}
+	b := &Budget{cfg: cfg, quietSince: now, startedAt: now, least: cfg.burst()}
 	if cfg.Window == 0 {
-		b.tokens = cfg.burst()
+		b.granted, b.tokens = true, cfg.burst()
 	}
 	return b
 }
 
-// replicaShare is the fraction of the total burst that is divided among the
-// replicas. The rest is a reserve for the time in which daemons disagree about who
-// the replicas are.
-const replicaShare = 0.85
+const (
+	// replicaShare is the fraction of the total burst that is divided among the
+	// replicas. The rest is for tokens before the grant, and a reserve for the time in
+	// which daemons disagree about who the replicas are.
+	replicaShare = 0.8
+	// ungrantedShare is the part of its burst that is a daemon's capacity before the
+	// grant. A window that contains the grant may have as much more than the burst.
+	ungrantedShare = 0.1
+)
 
 // Fleet is one daemon's view of the daemons that share a total burst.
 type Fleet struct {
@@ -72,7 +83,7 @@
 }
 
 // BurstShare returns the burst of one daemon, so that the bursts of all daemons
-// stay within a total. It is for platforms that limit the retries of all daemons
+// stay within a total, with what budgets hold before their grant. It is for platforms that limit the retries of all daemons
 // together, since the daemons share no counter. While the fleet is cut into parts,
 // each part has replicas of its own, and gets a part of the total by the daemons in it.
 // A burst below 1 allows no retry at all, so that a small part of the total is divided
@@ -96,21 +107,40 @@
 	b.fill(now)
 	if cfg.burst() > b.cfg.burst() {
 		b.quietSince = now
+		if b.cfg.burst() == 0 {
+			b.startedAt, b.granted, b.least = now, cfg.Window == 0, cfg.burst()
+		}
 	}
-	b.cfg = cfg
-	b.tokens = min(b.tokens, cfg.burst())
+	b.cfg, b.least = cfg, min(b.least, cfg.burst())
+	b.tokens = min(b.tokens, b.capacity())
 }
 
-// fill fills the budget if no token was taken within the Window: any interval of that
-// length then has at most the burst and the share of its own first attempts.
+// capacity returns how many tokens there may be now.
+func (b *Budget) capacity() float64 {
+	if !b.granted {
+		return ungrantedShare * b.cfg.burst()
+	}
+	return b.cfg.burst()
+}
+
+// fill fills the budget a Window after the daemon got its burst, and after each Window in
+// which no token was taken and the burst did not grow: any interval of that length then
+// has at most the burst, the capacity before the grant, and the share of its own first
+// attempts.
 func (b *Budget) fill(now time.Time) {
-	if b.cfg.Window > 0 && now.Sub(b.quietSince) >= b.cfg.Window {
-		b.tokens = b.cfg.burst()
+	if b.cfg.Window == 0 {
+		return
+	}
+	if !b.granted && now.Sub(b.startedAt) >= b.cfg.Window {
+		b.granted, b.tokens = true, b.least
+	}
+	if now.Sub(b.quietSince) >= b.cfg.Window {
+		b.tokens = b.capacity()
 	}
 }
 
 // RecordFirstAttempt adds Share tokens for the first attempt of a request.
-func (b *Budget) RecordFirstAttempt() { b.tokens = min(b.cfg.burst(), b.tokens+float64(b.cfg.Share)) }
+func (b *Budget) RecordFirstAttempt() { b.tokens = min(b.capacity(), b.tokens+float64(b.cfg.Share)) }
 
 // TryTake takes a token for one retry and reports whether there was one.
 func (b *Budget) TryTake(now time.Time) bool {
@@ -123,8 +153,8 @@
 	return true
 }
 
-// Burst returns the capacity of the token bucket.
-func (b *Budget) Burst() float64 { return b.cfg.burst() }
+// Burst returns how many tokens there may be now.
+func (b *Budget) Burst() float64 { return b.capacity() }
 
 // Tokens returns the number of tokens. A retry needs a whole one.
 func (b *Budget) Tokens(now time.Time) float64 {
