--- a/message/server.go
+++ b/message/server.go
@@ -68,8 +68,8 @@
 // Close closes the listeners and all connections at once.
 func (s *Server) Close() error { return s.server.Close() }
 
-// responseFlushTime is how long connections may take after that to send the rest of their
-// responses. It also lets requests end that were cancelled just before a stop whose bound
+// responseFlushTime is how long connections whose requests have ended may take to send the
+// rest of their responses. It also lets requests end that were cancelled just before a stop whose bound
 // had passed, because the process was paused.
 const responseFlushTime = 100 * time.Millisecond
 
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -30,7 +30,8 @@
 	// Share is the number of retries allowed per first attempt.
 	Share unit.Ratio
 	// Burst is the capacity of the token bucket. The retries in any interval of the
-	// length Window are at most Burst plus Share times the first attempts in it.
+	// length Window are at most Burst plus Share times the first attempts in it, and a
+	// tenth of Burst more in an interval that contains the grant.
 	Burst float64
 	// Window is the length of the intervals in which the retries of all daemons
 	// together are limited. A budget starts empty and with a smaller capacity, and is
@@ -82,10 +83,11 @@
 	Known, Reachable int
 }
 
-// BurstShare returns the burst of one daemon, so that the bursts of all daemons
-// stay within a total, with what budgets hold before their grant. It is for platforms that limit the retries of all daemons
-// together, since the daemons share no counter. While the fleet is cut into parts,
-// each part has replicas of its own, and gets a part of the total by the daemons in it.
+// BurstShare returns the burst of one daemon, so that the bursts of all daemons, with
+// what budgets hold before their grant, stay within a total. It is for platforms that
+// limit the retries of all daemons together, since the daemons share no counter. While
+// the fleet is cut into parts, each part has replicas of its own, and gets a part of the
+// total by the daemons in it.
 // A burst below 1 allows no retry at all, so that a small part of the total is divided
 // among as many replicas as can have 1. Daemons that are no replicas get only stray
 // requests and have no burst.
@@ -101,8 +103,8 @@
 	return part / float64(n)
 }
 
-// SetConfig changes the configuration. Tokens beyond the new burst are lost. A larger
-// burst adds none before the budget was quiet for the Window.
+// SetConfig changes the configuration. Tokens beyond the new burst are lost; a larger
+// burst adds none at once.
 func (b *Budget) SetConfig(now time.Time, cfg Config) {
 	b.fill(now)
 	if cfg.burst() > b.cfg.burst() {
