--- a/dispatch/replicas.go
+++ b/dispatch/replicas.go
@@ -103,18 +103,13 @@
 func (r *Replicas) fleet(self id.Host) retry.Fleet {
 	f := retry.Fleet{Serving: r.Serving, Replicas: r.count(), Known: r.Known, Reachable: r.Reachable}
 	for _, host := range r.Others {
-		f.Rank += boolToInt(host < self)
+		if host < self {
+			f.Rank++
+		}
 	}
 	return f
 }
 
-func boolToInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // updateReplicas applies a changed set of replicas to the retry budget and the
 // scheduler.
 func (s *serviceDispatcher) updateReplicas() {
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -205,7 +206,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	if c.Full {
-		c.Gone = s.unlisted(c.Listed)
+		c.Gone = c.Unlisted(maps.Keys(s.pools))
 	}
 	s.scheduler.UpdateTargets(now, c)
 	for _, name := range c.Gone {
@@ -269,21 +270,6 @@
 	s.shortIdleUntil = time.Now().Add(shortIdlePeriod)
 }
 
-// unlisted returns the targets with a pool that a list lacks.
-func (s *serviceDispatcher) unlisted(list []schedule.Endpoint) []id.Target {
-	listed := make(map[id.Target]bool, len(list))
-	for _, e := range list {
-		listed[e.ID] = true
-	}
-	var gone []id.Target
-	for name := range s.pools {
-		if !listed[name] {
-			gone = append(gone, name)
-		}
-	}
-	return gone
-}
-
 func (p *targetPool) close() {
 	p.cancel()
 	p.pool.Close()
--- a/router/router.go
+++ b/router/router.go
@@ -195,15 +195,6 @@
 	return r.dispatch(ctx, req, m)
 }
 
-// takes reports whether a stop that is in progress leaves enough time for a request.
-func (r *Router) takes(req *work.Request, m configuration.Match) bool {
-	if req.Departure == nil {
-		return true
-	}
-	usual := r.dispatcher.MeanServiceTime(m.Service.Name, m.Route.Name)
-	return req.Departure.Takes(time.Now(), departure.Request{Deadline: req.Deadline, Usual: usual})
-}
-
 // firstConfigurationTimeout is how long a request waits for the first
 // configuration. A daemon usually receives it within a few hundred milliseconds of
 // its start; if it takes longer, nothing indicates when it will arrive.
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -166,7 +167,7 @@
 func (s *Scheduler) UpdateTargets(now time.Time, c TargetChange) {
 	initial := len(s.targets) == 0
 	if c.Full {
-		c.Gone = s.unlisted(c.Listed)
+		c.Gone = c.Unlisted(maps.Keys(s.byID))
 	}
 	for _, name := range c.Gone {
 		s.removeTarget(name)
@@ -187,21 +188,6 @@
 	}
 }
 
-// unlisted returns the known targets that a list lacks.
-func (s *Scheduler) unlisted(list []Endpoint) []id.Target {
-	listed := make(map[id.Target]bool, len(list))
-	for _, e := range list {
-		listed[e.ID] = true
-	}
-	var gone []id.Target
-	for _, t := range s.targets {
-		if !listed[t.endpoint.ID] {
-			gone = append(gone, t.endpoint.ID)
-		}
-	}
-	return gone
-}
-
 // putTarget adds a target, or replaces the one of the same ID.
 func (s *Scheduler) putTarget(t *target) {
 	name := t.endpoint.ID
--- a/schedule/target.go
+++ b/schedule/target.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"iter"
 	"time"
 
 	"github.com/briarrouter/briarrouter/health"
@@ -45,6 +46,21 @@
 	Gone []id.Target
 }
 
+// Unlisted returns those of the known targets that a whole list lacks.
+func (c TargetChange) Unlisted(known iter.Seq[id.Target]) []id.Target {
+	listed := make(map[id.Target]bool, len(c.Listed))
+	for _, e := range c.Listed {
+		listed[e.ID] = true
+	}
+	var gone []id.Target
+	for name := range known {
+		if !listed[name] {
+			gone = append(gone, name)
+		}
+	}
+	return gone
+}
+
 const (
 	minDialBackoff = 100 * time.Millisecond
 	maxDialBackoff = 2 * time.Second
