--- a/review/standins/stop.go
+++ b/review/standins/stop.go
@@ -65,7 +65,7 @@
 			return request{method: "POST", path: fmt.Sprintf("/slip%d/%x", rand.IntN(stopRoutes), rand.IntN(1<<16)), deadline: stopDeadline, body: 60000}
 		})
 	}()
-	end := time.Now().Add(stopLength)
+	end := p.started.Add(stopLength)
 	time.Sleep(10 * time.Second)
 	var stops []stopped
 	for i := 0; p.trouble && time.Until(end) > 8*time.Second; i++ {
