departure: a stop takes only requests whose deadline ends before its cut

Cause: a request was taken if seven times the mean duration of its route fitted before the cut. Durations have a long tail, and the mean of a rarely used route is too low. Requests relayed by peers were not compared with the cut at all.

Fix: the deadline alone decides, and the plan of the stop holds for relayed requests too. Nothing that is taken after the hold time can still run at the cut. A rejected caller is told that its request has not run, and can go to another daemon at once.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -35,9 +35,10 @@
 }
 
 // membership announces that this daemon is leaving, so that callers are no longer
-// given its address.
+// given its address. The plan also applies to the requests that peers relay; it is nil
+// if the stop waits for all requests.
 type membership interface {
-	Leave()
+	Leave(plan *departure.Plan)
 }
 
 // configurationSource provides the configuration in force, or nil before one is
@@ -212,15 +213,16 @@
 // Shortly before ctx ends, the requests in progress are cancelled, and then the
 // remaining connections are closed.
 func (s *Server) Stop(ctx context.Context) error {
-	s.membership.Leave()
 	timing := s.timing.Load()
+	var plan *departure.Plan
 	if end, ok := ctx.Deadline(); ok {
-		cutAt := end.Add(-lastResponseTime)
-		s.departure.Store(&departure.Plan{HeldUntil: time.Now().Add(timing.Hold), CutAt: cutAt})
+		plan = &departure.Plan{HeldUntil: time.Now().Add(timing.Hold), CutAt: end.Add(-lastResponseTime)}
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, cutAt)
+		ctx, cancel = context.WithDeadline(ctx, plan.CutAt)
 		defer cancel()
 	}
+	s.departure.Store(plan)
+	s.membership.Leave(plan)
 	s.draining.Store(true)
 	s.cfg.Log.Info().Dur("Hold", timing.Hold).Int("Connections", s.connectionCount()).Msg("leaving; callers that hold this address are served")
 	timer := time.NewTimer(timing.Hold + timing.LeaveMargin)
--- a/caller/connection_test.go
+++ b/caller/connection_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/departure"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/memory"
 	"github.com/briarrouter/briarrouter/outcome"
@@ -191,7 +192,7 @@
 
 func (s *connectionScript) Addresses(id.Service, int) []roster.Member { return nil }
 
-func (s *connectionScript) Leave() { s.recordCall("Leave") }
+func (s *connectionScript) Leave(*departure.Plan) { s.recordCall("Leave") }
 
 func (s *connectionScript) Current() *configuration.Snapshot {
 	return &configuration.Snapshot{Limits: configuration.Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}}
--- a/departure/departure.go
+++ b/departure/departure.go
@@ -15,31 +15,15 @@
 	CutAt time.Time
 }
 
-// Request is what decides about a request.
-type Request struct {
-	// Deadline is when the request ends at the latest, by its route and its caller.
-	Deadline time.Time
-	// Usual is the mean duration of requests of its kind; zero if none has been
-	// observed.
-	Usual time.Duration
-}
-
-const (
-	// longestFactor is the multiple of the usual duration that nearly all requests of a
-	// kind stay within, whose durations are distributed with a long tail.
-	longestFactor = 7
-	// RetryAfter is the delay after which a rejected caller may retry. The other daemons
-	// can serve it at once.
-	RetryAfter = 50 * time.Millisecond
-)
+// RetryAfter is the delay after which a rejected caller may retry. The other daemons
+// can serve it at once.
+const RetryAfter = 50 * time.Millisecond
 
-// Takes reports whether a request that arrives now is taken. It answers the load of
-// callers that send to a daemon to the end of its stop: a request that could still be in
-// progress when the rest is cut off is rejected while it has not run, so that its caller
-// can go elsewhere, instead of being cut off with an unknown outcome.
-func (p *Plan) Takes(now time.Time, r Request) bool {
-	if now.Before(p.HeldUntil) || !r.Deadline.After(p.CutAt) {
-		return true
-	}
-	return r.Usual > 0 && !now.Add(longestFactor*r.Usual).After(p.CutAt)
+// Takes reports whether a request that arrives now and ends by its deadline is taken.
+// It answers the load of callers that send to a daemon until the end of its stop: a
+// request that could still be in progress at the cut is rejected before it has run, so
+// that its caller can go elsewhere. Only the deadline bounds how long a request takes;
+// observed durations do not, since they have a long tail.
+func (p *Plan) Takes(now, deadline time.Time) bool {
+	return now.Before(p.HeldUntil) || !deadline.After(p.CutAt)
 }
--- a/departure/departure_test.go
+++ b/departure/departure_test.go
@@ -9,8 +9,8 @@
 	"github.com/sebdah/goldie/v2"
 )
 
-// TestTakes decides about requests of different kinds at different times of stops with
-// a short and a long grace.
+// TestTakes decides about requests with different deadlines at different times of stops
+// with a short and a long grace.
 func TestTakes(t *testing.T) {
 	var out strings.Builder
 	signal := time.Unix(0, 0)
@@ -20,18 +20,17 @@
 		for _, at := range []time.Duration{0, 1999 * time.Millisecond, 2 * time.Second, 3 * time.Second, 4 * time.Second, 5 * time.Second, 9 * time.Second} {
 			fmt.Fprintf(&out, "  after %s:", at)
 			for _, kind := range []struct {
-				name        string
-				left, usual time.Duration
+				name string
+				left time.Duration
 			}{
-				{"lookup", 800 * time.Millisecond, 54 * time.Millisecond},
-				{"payment", 4 * time.Second, 410 * time.Millisecond},
-				{"roster", 12 * time.Second, 1600 * time.Millisecond},
-				{"upload", 30 * time.Second, 240 * time.Millisecond},
-				{"unobserved", 4 * time.Second, 0},
+				{"lookup", 800 * time.Millisecond},
+				{"payment", 4 * time.Second},
+				{"roster", 12 * time.Second},
+				{"upload", 30 * time.Second},
 			} {
 				now := signal.Add(at)
 				verdict := "reject"
-				if p.Takes(now, Request{Deadline: now.Add(kind.left), Usual: kind.usual}) {
+				if p.Takes(now, now.Add(kind.left)) {
 					verdict = "take"
 				}
 				fmt.Fprintf(&out, " %s %s", kind.name, verdict)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -18,6 +18,7 @@
 
 	"github.com/briarrouter/briarrouter/backlog"
 	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/departure"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/kernel"
 	"github.com/briarrouter/briarrouter/memory"
@@ -115,6 +116,9 @@
 	// responsivenessChanges counts the changes of the links' unresponsive flags.
 	responsivenessChanges atomic.Uint64
 	patches               patchCache
+	// departure is the plan of the stop in progress; nil if there is none, or if it
+	// waits for all requests.
+	departure atomic.Pointer[departure.Plan]
 
 	mu    sync.Mutex
 	table *roster.Table
@@ -272,8 +276,10 @@
 func (s *Service) Ready() bool { return s.Self().State == roster.Alive }
 
 // Leave marks this daemon as leaving, so that callers are no longer given its
-// address, and notifies peers immediately.
-func (s *Service) Leave() {
+// address, and notifies peers immediately. The requests that peers relay until they
+// know are taken or rejected by the plan of the stop.
+func (s *Service) Leave(plan *departure.Plan) {
+	s.departure.Store(plan)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.SetState(roster.Leaving)
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -218,16 +218,17 @@
 	}
 	s.receiveVersion(h)
 	return &work.Request{
-		ID:       id.Request(h.Get(message.RequestField)),
-		Caller:   id.Caller(h.Get(callerField)),
-		Key:      id.Key(h.Get(keyField)),
-		Method:   r.Method,
-		URI:      strings.TrimPrefix(r.RequestURI, relayPath),
-		Path:     strings.TrimPrefix(r.URL.Path, relayPath),
-		Host:     r.Host,
-		Header:   message.EndToEnd(h),
-		Deadline: time.Now().Add(time.Duration(remaining) * time.Millisecond),
-		Hops:     hops,
+		ID:        id.Request(h.Get(message.RequestField)),
+		Caller:    id.Caller(h.Get(callerField)),
+		Key:       id.Key(h.Get(keyField)),
+		Method:    r.Method,
+		URI:       strings.TrimPrefix(r.RequestURI, relayPath),
+		Path:      strings.TrimPrefix(r.URL.Path, relayPath),
+		Host:      r.Host,
+		Header:    message.EndToEnd(h),
+		Deadline:  time.Now().Add(time.Duration(remaining) * time.Millisecond),
+		Departure: s.departure.Load(),
+		Hops:      hops,
 	}, purpose, nil
 }
 
--- a/router/departure_test.go
+++ b/router/departure_test.go
@@ -9,26 +9,23 @@
 	"github.com/briarrouter/briarrouter/configuration"
 	"github.com/briarrouter/briarrouter/departure"
 	"github.com/briarrouter/briarrouter/dispatch"
-	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/outcome"
 	"github.com/briarrouter/briarrouter/work"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 )
 
-// slowTargets is a dispatcher whose requests usually take a second, and a store with
-// one route.
-type slowTargets struct{ ran int }
+// quickTargets is a dispatcher that responds at once, and a store with one route.
+type quickTargets struct{ ran int }
 
-func (d *slowTargets) Run(context.Context, *work.Request, configuration.Match) work.Response {
+func (d *quickTargets) Run(context.Context, *work.Request, configuration.Match) work.Response {
 	d.ran++
 	return work.Response{Outcome: outcome.Ran, Status: http.StatusOK}
 }
-func (*slowTargets) Prepare(*configuration.Service)                     {}
-func (*slowTargets) SetReplicas(dispatch.Replicas)                      {}
-func (*slowTargets) MeanServiceTime(id.Service, id.Route) time.Duration { return time.Second }
-func (d *slowTargets) Await(context.Context) *configuration.Snapshot    { return d.Current() }
-func (*slowTargets) Current() *configuration.Snapshot {
+func (*quickTargets) Prepare(*configuration.Service)                     {}
+func (*quickTargets) SetReplicas(dispatch.Replicas)                      {}
+func (d *quickTargets) Await(context.Context) *configuration.Snapshot    { return d.Current() }
+func (*quickTargets) Current() *configuration.Snapshot {
 	s, err := configuration.NewSnapshot(configuration.Draft{
 		Services: []*configuration.Service{{Name: "payments"}},
 		Routes:   []configuration.Route{{Name: "pay", Path: "/", Timeout: 4 * time.Second, Parts: []configuration.Part{{Service: "payments", Weight: 1}}}},
@@ -39,10 +36,10 @@
 	return s
 }
 
-// TestLateInStop guards against requests that are taken late in a planned stop, passed
-// on, and cut off at its end with no response.
+// TestLateInStop guards against requests that are taken late in a planned stop, since
+// requests of their route are usually quick, and are still running at its cut.
 func TestLateInStop(t *testing.T) {
-	d := &slowTargets{}
+	d := &quickTargets{}
 	r := New(Config{Scope: tally.NoopScope, Local: true})
 	r.policies, r.dispatcher, r.peers = d, d, &host{}
 	now := time.Now()
@@ -65,4 +62,6 @@
 		}
 	}
 	require.Equal(t, 3, d.ran)
+	relayed := &work.Request{ID: "1", Method: http.MethodPost, Path: "/pay", Hops: 1, Deadline: now.Add(4 * time.Second), Departure: &departure.Plan{HeldUntil: now, CutAt: now.Add(2 * time.Second)}}
+	require.Equal(t, work.Leaving, r.HandleRelayed(t.Context(), relayed, ToDispatcher).Reason)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -63,9 +63,6 @@
 	Prepare(s *configuration.Service)
 	// SetReplicas sets the replicas: the daemons that callers are directed to.
 	SetReplicas(replicas dispatch.Replicas)
-	// MeanServiceTime returns the mean duration of a route's requests at the targets of
-	// a service; zero if none has been observed.
-	MeanServiceTime(s id.Service, r id.Route) time.Duration
 }
 
 // peers gives access to the other daemons.
@@ -184,7 +181,7 @@
 		req.Deadline = routeDeadline
 	}
 	req.Idempotent = m.Route.Idempotent
-	if !r.takes(req, m) {
+	if req.Departure != nil && !req.Departure.Takes(time.Now(), req.Deadline) {
 		response := r.refuse(req, purpose, http.StatusServiceUnavailable, work.Leaving)
 		response.RetryAfter = departure.RetryAfter
 		return response
