registry: cut watches no longer count as an outage of the platform

Cause: two failed calls in a row counted as an outage, after which removals are delayed by 2.2 s. The call after a failed watch was again a watch that waits, and a platform may cut pending watches while it answers everything else.

With watches cut all the time, the new test still had the removed target after 10 s.

Fix: the call after a failed one does not wait, so it fails only if the platform is down. The pause after failures is reset only by a call that waited, so the platform gets no more calls than before while it cuts watches.

Test: registry.TestRemovalAfterCutWatches fails on in two of four cases (2.2 s and 10 s where 1 s is allowed).

--- a/registry/reader.go
+++ b/registry/reader.go
@@ -25,6 +25,10 @@
 	// miss a change or lose its connection without an error, so it must end early enough
 	// for a later one to find the change in time.
 	watchWait = 0.4
+	// recheckWait is how long the call after a failed one waits. Since pending watches
+	// can be cut by a platform that answers everything else, only a call that does not
+	// wait shows whether the platform is down.
+	recheckWait = time.Millisecond
 )
 
 // platformReader reads from the platform in a goroutine of its own. Its first call
@@ -41,22 +45,23 @@
 	revision Revision
 	// failures counts consecutive failed calls.
 	failures int
+	// retryDelay is the longest pause after the next failed call. It grows until a call
+	// succeeds that was not made to recheck the platform.
+	retryDelay time.Duration
 }
 
 func newPlatformReader(r *Registry) *platformReader {
 	ctx, cancel := context.WithCancel(r.ctx)
-	return &platformReader{registry: r, ctx: ctx, cancel: cancel}
+	return &platformReader{registry: r, ctx: ctx, cancel: cancel, retryDelay: minRetryDelay}
 }
 
 func (p *platformReader) run() {
-	delay := minRetryDelay
 	for p.ctx.Err() == nil {
 		if p.readOnce() {
-			delay = minRetryDelay
 			continue
 		}
-		clock.Sleep(p.ctx, delay/2+rand.N(delay/2))
-		delay = min(2*delay, p.retryDelayLimit())
+		clock.Sleep(p.ctx, p.retryDelay/2+rand.N(p.retryDelay/2))
+		p.retryDelay = min(2*p.retryDelay, p.retryDelayLimit())
 	}
 }
 
@@ -79,7 +84,7 @@
 	var l Listing
 	var err error
 	if p.listed {
-		l, err = r.cfg.Platform.Watch(p.ctx, p.revision, r.selector.shareOfInForce(watchWait))
+		l, err = r.cfg.Platform.Watch(p.ctx, p.revision, p.wait())
 	} else {
 		l, err = r.cfg.Platform.List(p.ctx)
 	}
@@ -101,14 +106,22 @@
 	return true
 }
 
+// wait returns how long the next watch waits for a change.
+func (p *platformReader) wait() time.Duration {
+	if p.failures > 0 {
+		return recheckWait
+	}
+	return p.registry.selector.shareOfInForce(watchWait)
+}
+
 func (p *platformReader) recordFailure(err error) {
 	r := p.registry
 	p.failures++
 	r.cfg.Scope.Counter("platform_failures").Inc(1)
 	r.mu.Lock()
 	if p.failures > 1 {
-		// One failure can be just a cut connection, so the platform counts as
-		// down only from the second failure in a row.
+		// One failure can be just a cut connection. The platform counts as down when
+		// the recheck fails too.
 		r.view.MarkPlatformDown()
 	}
 	revision, age := r.view.Revision(), r.age(time.Now(), true)
@@ -137,7 +150,10 @@
 	}
 	r.mu.Unlock()
 	if p.failures > 0 {
-		r.cfg.Log.Info().Int("Failures", p.failures).Uint64("Revision", uint64(l.Revision)).Msg("platform answers again")
+		r.cfg.Log.Info().Int("Failures", p.failures).Uint64("Revision", uint64(l.Revision)).
+			Bool("RemovalsDelayed", p.failures > 1).Msg("platform answers again")
+	} else {
+		p.retryDelay = minRetryDelay
 	}
 	p.failures, p.listed = 0, true
 	r.publish(applied, before)
