--- a/caller/caller.go
+++ b/caller/caller.go
@@ -22,7 +22,6 @@
 	"github.com/briarrouter/briarrouter/work"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
-	"golang.org/x/net/netutil"
 )
 
 const ServiceName kernel.Name = "caller"
@@ -78,7 +77,12 @@
 	membership     membership
 	configurations configurationSource
 	listener       net.Listener
-	group          conc.WaitGroup
+	// slots holds an element for each open connection and one for the next connection
+	// to be accepted.
+	slots chan struct{}
+	// closed is closed when no more connections are accepted.
+	closed chan struct{}
+	group  conc.WaitGroup
 	// timing holds the durations in force; never nil.
 	timing atomic.Pointer[settings.Timing]
 	// draining is set when Stop begins; from then on every response closes its
@@ -98,7 +102,10 @@
 
 // New returns a server that is not listening yet.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg, dialect: cfg.Dialect, connections: make(map[*connection]bool), connectionEnded: make(chan struct{}, 1)}
+	s := &Server{
+		cfg: cfg, dialect: cfg.Dialect, slots: make(chan struct{}, cfg.Limits.CallerConnections), closed: make(chan struct{}),
+		connections: make(map[*connection]bool), connectionEnded: make(chan struct{}, 1),
+	}
 	if s.dialect == nil {
 		s.dialect = Dialect{}
 	}
@@ -161,7 +168,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	s.listener = netutil.LimitListener(listener, s.cfg.Limits.CallerConnections)
+	s.listener = listener
 	s.group.Go(s.run)
 	return nil
 }
@@ -172,8 +179,11 @@
 
 // run accepts connections until the listener is closed.
 func (s *Server) run() {
-	for {
+	for s.acquireSlot() {
 		nc, err := s.listener.Accept()
+		if err != nil {
+			s.releaseSlot()
+		}
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
@@ -186,7 +196,20 @@
 	}
 }
 
-// serve starts the task of a new connection.
+// acquireSlot waits until another connection may be accepted. It returns false if the
+// server stops first.
+func (s *Server) acquireSlot() bool {
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-s.closed:
+		return false
+	}
+}
+
+func (s *Server) releaseSlot() { <-s.slots }
+
+// serve starts the task of a new connection, for which a slot was acquired.
 func (s *Server) serve(nc net.Conn) {
 	c := newConnection(s, nc)
 	s.mu.Lock()
@@ -200,6 +223,7 @@
 	s.mu.Lock()
 	delete(s.connections, c)
 	s.mu.Unlock()
+	s.releaseSlot()
 	select {
 	case s.connectionEnded <- struct{}{}:
 	default:
@@ -231,6 +255,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	close(s.closed)
 	err := s.listener.Close()
 	s.closeIdle()
 	if !s.awaitConnections(ctx) {
--- a/caller/connection_test.go
+++ b/caller/connection_test.go
@@ -35,7 +35,7 @@
 	scripttest.Run(t, ".script", func(t *testing.T) func([]string) string {
 		s := &connectionScript{started: time.Now()}
 		s.server = New(Config{
-			Limits:  settings.Limits{RequestHeader: 200, RequestBody: 100, BodyBuffer: 20},
+			Limits:  settings.Limits{RequestHeader: 200, RequestBody: 100, BodyBuffer: 20, CallerConnections: 16},
 			Timing:  settings.Timing{SlowCaller: 10 * time.Second, Hold: 2 * time.Second, LeaveMargin: time.Second},
 			Memory:  memory.New(1000),
 			Log:     zerolog.Nop(),
@@ -88,6 +88,7 @@
 func (s *connectionScript) open() {
 	serverConn, clientConn := net.Pipe()
 	s.client = clientConn
+	s.server.acquireSlot()
 	s.server.serve(serverConn)
 	go s.read(clientConn)
 }
--- a/caller/request_test.go
+++ b/caller/request_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/briarrouter/briarrouter/memory"
 	"github.com/briarrouter/briarrouter/message"
 	"github.com/briarrouter/briarrouter/settings"
 	"github.com/briarrouter/briarrouter/unit"
@@ -53,7 +54,8 @@
 func TestRefusalOutcome(t *testing.T) {
 	for key, want := range map[string]string{"": "not-run", "0000000000000abc-0-x": "unknown"} {
 		serverConn, clientConn := net.Pipe()
-		s := New(Config{Timing: settings.Timing{SlowCaller: time.Second}, Limits: settings.Limits{RequestHeader: unit.KiB}})
+		s := New(Config{Timing: settings.Timing{SlowCaller: time.Second}, Limits: settings.Limits{RequestHeader: unit.KiB, CallerConnections: 1}, Memory: memory.New(0)})
+		s.acquireSlot()
 		s.serve(serverConn)
 		fmt.Fprintf(clientConn, "POST /beds HTTP/1.1\r\nHost: d\r\n%s: soon\r\n", TimeoutField)
 		if key != "" {
