caller: the receiving task watches its connection while its buffer is full

While a receive buffer was full, its task waited for a condition that only a reader signals. It saw neither the caller's end of the connection nor the daemon's. What all connections had received ahead had no common bound.

Fix: the task only ever waits for its connection: for bytes, or, while the buffer is full, in the poller for its end. A closed connection so ends both of its tasks on every path. Bytes received ahead are reserved from Buffers beyond one chunk of 4 KiB a connection; beyond that a caller is read as fast as its request is.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -61,7 +61,7 @@
 func newConnection(s *Server, nc net.Conn) *connection {
 	c := &connection{server: s, conn: nc}
 	c.ctx, c.cancelCause = context.WithCancelCause(context.Background())
-	c.input = newReceiveBuffer(nc, c.cancel)
+	c.input = newReceiveBuffer(nc, s.cfg.Memory, c.cancel)
 	c.header = &headerReader{input: c.input, remaining: -1}
 	c.reader = bufio.NewReaderSize(c.header, readBufferSize)
 	c.writer = bufio.NewWriterSize(&timeoutWriter{nc, s.timing.Load().SlowCaller}, writeBufferSize)
@@ -93,7 +93,7 @@
 
 func (c *connection) close() {
 	c.cancel()
-	c.conn.Close()
+	c.input.close()
 }
 
 // linger closes the write side and waits for the caller to close its side.
@@ -110,7 +110,7 @@
 	if d > 0 {
 		at = time.Now().Add(d)
 	}
-	if err := c.conn.SetReadDeadline(at); err != nil {
+	if err := c.input.setDeadline(at); err != nil {
 		c.cancel()
 	}
 }
--- a/caller/receivebuffer.go
+++ b/caller/receivebuffer.go
@@ -6,13 +6,21 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
+	"time"
+
+	"github.com/briarrouter/briarrouter/memory"
+	"github.com/briarrouter/briarrouter/unit"
 )
 
 // receiveBuffer reads from a connection in the background, so that a disconnect
 // is detected while a request runs, even if the caller has pipelined further
-// requests.
+// requests or sends a body that nobody reads yet.
 type receiveBuffer struct {
 	conn net.Conn
+	// memory limits the bytes that the buffers of all connections hold beyond one chunk
+	// each.
+	memory *memory.Limiter
 	// onDisconnect is called at most once, when receiving has ended for a
 	// reason other than a read timeout.
 	onDisconnect func()
@@ -23,43 +31,67 @@
 	// data holds the bytes that were received and not read yet. Receiving stops
 	// while it holds receiveBufferSize bytes or more.
 	data []byte
+	// reserved is the memory reserved for data, at least len(data) - receiveChunkSize.
+	reserved unit.Bytes
 	// err is the reason why no more bytes will be received; nil while more may
 	// come.
 	err error
 	// awaitingRequest is set while the server waits for the first byte of a
 	// request.
 	awaitingRequest bool
+	// deadline is the read deadline. The connection has it unless paused is set.
+	deadline time.Time
+	// paused is set while the buffer is full and the receiving task waits for the end
+	// of the connection instead of more bytes.
+	paused bool
 }
 
-// receiveBufferSize bounds the bytes of bodies and pipelined requests that are
-// received ahead of reading. The buffer may exceed it by less than
-// receiveChunkSize.
-const receiveBufferSize = 64 << 10
-
-// receiveChunkSize is the size of a single read; most requests without a body
-// fit.
-const receiveChunkSize = 4 << 10
+const (
+	// receiveBufferSize bounds the bytes of bodies and pipelined requests that are
+	// received ahead of reading. The buffer may exceed it by less than
+	// receiveChunkSize.
+	receiveBufferSize = 64 << 10
+	// resumeSize is the size below which a buffer that was full receives again.
+	resumeSize = receiveBufferSize / 2
+	// receiveChunkSize is the size of a single read; most requests without a body
+	// fit.
+	receiveChunkSize = 4 << 10
+)
 
-func newReceiveBuffer(conn net.Conn, onDisconnect func()) *receiveBuffer {
-	b := &receiveBuffer{conn: conn, onDisconnect: onDisconnect}
+func newReceiveBuffer(conn net.Conn, limiter *memory.Limiter, onDisconnect func()) *receiveBuffer {
+	b := &receiveBuffer{conn: conn, memory: limiter, onDisconnect: onDisconnect}
 	b.changed = sync.NewCond(&b.mu)
 	return b
 }
 
 // loop receives bytes until the connection ends or a read times out. It runs as
-// a task of its own beside the one that serves the connection's requests.
+// a task of its own beside the one that serves the connection's requests. It only ever
+// waits for the connection, so it ends when the connection is closed.
 func (b *receiveBuffer) loop() {
 	chunk := make([]byte, receiveChunkSize)
 	for b.awaitSpace() {
 		n, err := b.conn.Read(chunk)
-		if b.store(chunk[:n], err) {
-			continue
-		}
-		if !b.timedOut() {
-			b.onDisconnect()
-		}
-		return
+		b.store(chunk[:n], err)
 	}
+	if !b.timedOut() {
+		b.onDisconnect()
+	}
+}
+
+// close closes the connection and ends the wait of all tasks that use the buffer.
+func (b *receiveBuffer) close() {
+	b.store(nil, net.ErrClosed)
+	b.conn.Close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.clear()
+}
+
+// clear discards the received bytes. The caller holds mu.
+func (b *receiveBuffer) clear() {
+	b.data = nil
+	b.memory.Release(b.reserved)
+	b.reserved = 0
 }
 
 // timedOut reports whether receiving ended because of a read timeout.
@@ -69,28 +101,109 @@
 	return errors.Is(b.err, os.ErrDeadlineExceeded)
 }
 
-// awaitSpace waits until the buffer has space and reports whether more bytes
-// may come.
+// setDeadline sets the time after which receiving ends if no bytes arrive; the zero time
+// removes it.
+func (b *receiveBuffer) setDeadline(t time.Time) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.deadline = t
+	if b.paused {
+		return nil
+	}
+	return b.conn.SetReadDeadline(t)
+}
+
+// awaitSpace waits until the buffer has space and reports whether more bytes may come.
 func (b *receiveBuffer) awaitSpace() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for len(b.data) >= receiveBufferSize && b.err == nil {
+	for b.err == nil && !b.hasSpace() {
+		if conn, ok := b.conn.(syscall.Conn); ok {
+			b.awaitSpaceOrEnd(conn)
+			continue
+		}
 		b.changed.Wait()
 	}
 	return b.err == nil
 }
 
-// store appends received bytes and records the first error. It reports whether
-// more bytes may come.
-func (b *receiveBuffer) store(data []byte, err error) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.data = append(b.data, data...)
+// hasSpace reports whether another chunk may be received, and reserves memory for it.
+// The first chunk of each buffer needs no reservation, so that every connection makes
+// progress. The caller holds mu.
+func (b *receiveBuffer) hasSpace() bool {
+	size := receiveBufferSize
+	if b.paused {
+		size = resumeSize
+	}
+	switch {
+	case len(b.data) >= size:
+		return false
+	case unit.Bytes(len(b.data)) <= b.reserved:
+		return true
+	case !b.memory.TryAcquire(receiveChunkSize):
+		return false
+	}
+	b.reserved += receiveChunkSize
+	return true
+}
+
+// awaitSpaceOrEnd waits until the buffer has space or the connection has ended. Bytes
+// that have arrived meanwhile stay with the operating system. The caller holds mu, which
+// is released while waiting.
+func (b *receiveBuffer) awaitSpaceOrEnd(conn syscall.Conn) {
+	raw, err := conn.SyscallConn()
+	if err == nil {
+		b.paused = true
+		err = b.conn.SetReadDeadline(time.Time{})
+	}
+	ended := false
+	if err == nil {
+		b.mu.Unlock()
+		err = raw.Read(func(fd uintptr) bool {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			ended = b.err != nil || isClosedByPeer(int(fd))
+			return ended || b.hasSpace()
+		})
+		b.mu.Lock()
+	}
+	b.paused = false
+	switch {
+	case ended:
+		err = errDisconnected
+	case err == nil, errors.Is(err, os.ErrDeadlineExceeded):
+		err = b.conn.SetReadDeadline(b.deadline)
+	}
+	b.end(err)
+}
+
+var errDisconnected = errors.New("caller has closed the connection")
+
+// end records the first error. The caller holds mu.
+func (b *receiveBuffer) end(err error) {
 	if err != nil && b.err == nil {
 		b.err = err
 	}
 	b.changed.Broadcast()
-	return b.err == nil
+}
+
+// resume ends the pause of the receiving task if the buffer has space again. The caller
+// holds mu.
+func (b *receiveBuffer) resume() {
+	if b.paused && b.hasSpace() {
+		// The receiving task sets the deadline that is in force when it wakes up.
+		b.end(b.conn.SetReadDeadline(time.Unix(1, 0)))
+	}
+}
+
+// store appends received bytes and records the first error.
+func (b *receiveBuffer) store(data []byte, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.err == nil {
+		b.data = append(b.data, data...)
+	}
+	b.end(err)
 }
 
 // Read returns buffered bytes and blocks while there are none.
@@ -106,8 +219,9 @@
 	n := copy(p, b.data)
 	b.data = b.data[n:]
 	if len(b.data) == 0 {
-		b.data = nil
+		b.clear()
 	}
+	b.resume()
 	b.changed.Broadcast()
 	return n, nil
 }
@@ -138,10 +252,7 @@
 	if !b.awaitingRequest || len(b.data) > 0 {
 		return false
 	}
-	if b.err == nil {
-		b.err = errStopped
-	}
-	b.changed.Broadcast()
+	b.end(errStopped)
 	return true
 }
 
@@ -151,7 +262,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for b.err == nil {
-		b.data = nil
+		b.clear()
+		b.resume()
 		b.changed.Broadcast()
 		b.changed.Wait()
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -68,8 +68,11 @@
 // Limits bounds the resources that callers, targets and peers can make a daemon
 // use.
 type Limits struct {
-	// Buffers bounds the total size of the bodies that are buffered. The responses
-	// recorded for idempotency keys may take up to half as much in addition.
+	// Buffers bounds the total size of the bodies that are buffered, and of the bytes
+	// that were received from callers and not read yet, except a chunk for each
+	// connection. Beyond it, bodies are streamed and connections receive one chunk at a
+	// time. The responses recorded for idempotency keys may take up to half as much in
+	// addition.
 	Buffers unit.Bytes
 	// RequestHeader bounds the header section of a caller's request.
 	RequestHeader unit.Bytes
