quarantine: a request is also known by its caller

Cause: a request was identified by method, path and body. A completion of any caller's request on the path cleared the one that crashes targets, and notices of peers were ignored for the same reason.

Fix: work.Identity has a second fingerprint, with the caller (client account, else the address of the connection; relays pass it on). By it a request is quarantined after two targets, one run after the other, or three if it completed for this caller within two minutes. The rule for content alone, which protects popular requests, is unchanged.

--- a/bench/dispatcher.go
+++ b/bench/dispatcher.go
@@ -113,7 +113,7 @@
 	}
 	job := schedule.Job{
 		Ticket: d.lastTicket, Caller: id.Caller(fmt.Sprint(r.host)), Route: route,
-		Fingerprint: work.Fingerprint(r.number), Deadline: epoch.Add(r.deadline),
+		Identity: work.Identity{Content: work.Fingerprint(r.number)}, Deadline: epoch.Add(r.deadline),
 	}
 	for _, t := range r.tried {
 		job.Tried = append(job.Tried, targetID(t))
--- a/caller/connection.go
+++ b/caller/connection.go
@@ -26,6 +26,8 @@
 type connection struct {
 	server *Server
 	conn   net.Conn
+	// origin is empty if the connection has no IP address.
+	origin id.Origin
 	input  *receiveBuffer
 	header *headerReader
 	reader *bufio.Reader
@@ -60,6 +62,9 @@
 
 func newConnection(s *Server, nc net.Conn) *connection {
 	c := &connection{server: s, conn: nc}
+	if address, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
+		c.origin = id.Origin(address.IP.String())
+	}
 	c.ctx, c.cancelCause = context.WithCancelCause(context.Background())
 	c.input = newReceiveBuffer(nc, s.cfg.Memory, c.cancel)
 	c.header = &headerReader{input: c.input, remaining: -1}
@@ -179,7 +184,7 @@
 		c.linger()
 		return false
 	}
-	x.id = req.ID
+	x.id, req.Origin = req.ID, c.origin
 	release, err := x.readBody(req)
 	defer release()
 	if err != nil {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -204,6 +204,8 @@
 		case "in":
 			d, _ := time.ParseDuration(value)
 			req.Deadline = time.Now().Add(d)
+		case "from":
+			req.Origin = id.Origin(value)
 		case "attempts":
 			fmt.Sscan(value, &route.Attempts)
 		case "divided":
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -141,22 +141,22 @@
 
 // Run runs a request on a target of the matched service and returns the response.
 func (d *Dispatcher) Run(ctx context.Context, req *work.Request, m configuration.Match) work.Response {
-	if d.isQuarantined(req.Fingerprint()) {
+	if d.isQuarantined(req.Identity()) {
 		return work.Refuse(outcome.NotRun, http.StatusServiceUnavailable, work.Quarantined)
 	}
 	response := d.getOrCreateService(m.Service).handle(ctx, req, m.Route)
 	if response.Outcome == outcome.Ran && response.Status < http.StatusInternalServerError {
-		d.recordCompleted(req.Fingerprint())
+		d.recordCompleted(req.Identity())
 	}
 	return response
 }
 
 // recordCompleted records that a request completed, so that it is not suspected
 // of crashing targets.
-func (d *Dispatcher) recordCompleted(f work.Fingerprint) {
+func (d *Dispatcher) recordCompleted(r work.Identity) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.quarantines.RecordCompletion(time.Now(), f)
+	d.quarantines.RecordCompletion(time.Now(), r)
 }
 
 // Prepare creates the dispatcher of a service before its first request, so that
@@ -175,10 +175,10 @@
 	return s
 }
 
-func (d *Dispatcher) isQuarantined(f work.Fingerprint) bool {
+func (d *Dispatcher) isQuarantined(r work.Identity) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.quarantines.Quarantined(time.Now(), f)
+	return d.quarantines.Quarantined(time.Now(), r)
 }
 
 // UrgentServices returns a channel of services that have a new quarantine or a
--- a/id/id.go
+++ b/id/id.go
@@ -28,6 +28,9 @@
 // Caller is the name of a client account.
 type Caller string
 
+// Origin is the IP address that a caller's connection comes from.
+type Origin string
+
 // Route is the name of one kind of request of a service.
 type Route string
 
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -25,6 +25,7 @@
 // Header fields of relayed requests.
 const (
 	callerField = message.Prefix + "Caller"
+	originField = message.Prefix + "Origin"
 	keyField    = message.Prefix + "Key"
 	// deadlineField carries the time left until the deadline.
 	deadlineField = message.Prefix + "Deadline-Ms"
@@ -121,6 +122,7 @@
 	}
 	h.Set(message.RequestField, string(req.ID))
 	h.Set(callerField, string(req.Caller))
+	h.Set(originField, string(req.Origin))
 	h.Set(deadlineField, strconv.FormatInt(time.Until(req.Deadline).Milliseconds(), 10))
 	h.Set(hopsField, strconv.Itoa(req.Hops+1))
 	h.Set(purposeField, string(purpose))
@@ -220,6 +222,7 @@
 	return &work.Request{
 		ID:        id.Request(h.Get(message.RequestField)),
 		Caller:    id.Caller(h.Get(callerField)),
+		Origin:    id.Origin(h.Get(originField)),
 		Key:       id.Key(h.Get(keyField)),
 		Method:    r.Method,
 		URI:       strings.TrimPrefix(r.RequestURI, relayPath),
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -2,7 +2,15 @@
 // request is suspect once a connection to a target has broken while the request was
 // running there, and is quarantined once this has happened with two different
 // targets. A crash with a suspect that is quarantined later does not count against
-// the target. Requests are identified by their fingerprints.
+// the target.
+//
+// Requests are identified in two ways, by their content and by their content and
+// caller; a request is quarantined by either. When connections to several targets are
+// reset at once, a request that many callers send may be running on several of them
+// without being the cause. So a request that completed recently, whoever sent it, does
+// not become suspect by its content. By its caller it does, but then the request must
+// have crashed its targets one after the other, without a completion for this caller in
+// between.
 package quarantine
 
 import (
@@ -25,6 +33,9 @@
 	// maxCrashedTargets is the number of different targets after whose crashes a
 	// request is quarantined, so that it does not run on a third one.
 	maxCrashedTargets = 2
+	// maxCrashedAfterCompletion replaces maxCrashedTargets for a request of one caller
+	// that completed for this caller recently.
+	maxCrashedAfterCompletion = 3
 	// quarantineTime is the duration of a quarantine after the last arrival of
 	// the request.
 	quarantineTime = 10 * time.Minute
@@ -44,8 +55,8 @@
 
 // entry is a suspect or quarantined request.
 type entry struct {
-	// targets lists the different targets that crashed while they ran the
-	// request; at most maxCrashedTargets.
+	// targets lists the different targets that crashed while they ran the request; at
+	// most as many as quarantine it.
 	targets []id.Target
 	// last is when the request last crashed a target or arrived while quarantined. If
 	// neither has happened here, it is when a peer's notice of the quarantine came.
@@ -69,15 +80,19 @@
 type Table struct {
 	entries map[work.Fingerprint]*entry
 	crashes []crash
-	// completed holds the time at which each request last completed. A request that
-	// completed recently does not become suspect: when connections to several targets
-	// are reset at once, a request that many callers send may be running on several of
-	// them without being the cause.
-	completed *lru.Cache[work.Fingerprint, time.Time]
+	// completed holds the last completion of each request.
+	completed *lru.Cache[work.Fingerprint, completion]
+}
+
+// completion is the last completion of a request.
+type completion struct {
+	at time.Time
+	// byCaller is set if the request is identified by its caller too.
+	byCaller bool
 }
 
 func New() *Table {
-	completed, err := lru.New[work.Fingerprint, time.Time](maxEntries)
+	completed, err := lru.New[work.Fingerprint, completion](maxEntries)
 	if err != nil {
 		panic(fmt.Sprintf("quarantine: cannot create the cache of completed requests: %v", err))
 	}
@@ -86,7 +101,13 @@
 
 // Quarantined reports whether the request is quarantined and must not run. It
 // extends the quarantine.
-func (t *Table) Quarantined(now time.Time, f work.Fingerprint) bool {
+func (t *Table) Quarantined(now time.Time, r work.Identity) bool {
+	byContent, byCaller := t.extend(now, r.Content), t.extend(now, r.ByCaller)
+	return byContent || byCaller
+}
+
+// extend extends the quarantine of a fingerprint and reports whether there is one.
+func (t *Table) extend(now time.Time, f work.Fingerprint) bool {
 	e := t.entries[f]
 	if e == nil || !now.Before(e.until) {
 		return false
@@ -95,18 +116,45 @@
 	return true
 }
 
-// Suspect reports whether the request is suspect or quarantined. A target should not
-// run two such requests at once.
-func (t *Table) Suspect(f work.Fingerprint) bool { return t.entries[f] != nil }
+// Suspect reports whether the request is suspect or quarantined by its content. A target
+// should not run two such requests at once.
+func (t *Table) Suspect(r work.Identity) bool { return t.entries[r.Content] != nil }
 
 // RecordCrash records that a connection to a target broke while the request was
-// running on it, and reports whether this quarantined the request.
-func (t *Table) RecordCrash(now time.Time, f work.Fingerprint, target id.Target) bool {
-	if t.completedRecently(now, f) {
+// running on it, since begun, and reports whether this quarantined the request.
+func (t *Table) RecordCrash(now, begun time.Time, r work.Identity, target id.Target) bool {
+	byCaller := t.suspectCaller(now, begun, r.ByCaller, target)
+	if t.completedRecently(now, r.Content) {
 		t.addCrash(now, target)
+		return byCaller
+	}
+	t.addCrash(now, target, r.Content)
+	if !t.suspect(now, r.Content, target, maxCrashedTargets) {
+		return byCaller
+	}
+	t.dropExplainedCrashes(r.Content)
+	return true
+}
+
+// suspectCaller counts a crash against a request of one caller. A crash of a request
+// that began before the previous crash is not counted: both may have one cause that lies
+// elsewhere, such as a loss of power.
+func (t *Table) suspectCaller(now, begun time.Time, f work.Fingerprint, target id.Target) bool {
+	if f == 0 {
 		return false
 	}
-	t.addCrash(now, target, f)
+	if e := t.entries[f]; e != nil && !begun.After(e.last) {
+		return false
+	}
+	limit := maxCrashedTargets
+	if t.completedRecently(now, f) {
+		limit = maxCrashedAfterCompletion
+	}
+	return t.suspect(now, f, target, limit)
+}
+
+// suspect counts a crash against a fingerprint and reports whether this quarantined it.
+func (t *Table) suspect(now time.Time, f work.Fingerprint, target id.Target, limit int) bool {
 	e := t.entries[f]
 	if e == nil {
 		t.evictIfFull()
@@ -114,21 +162,20 @@
 		t.entries[f] = e
 	}
 	e.last = now
-	if !slices.Contains(e.targets, target) && len(e.targets) < maxCrashedTargets {
+	if !slices.Contains(e.targets, target) && len(e.targets) < limit {
 		e.targets = append(e.targets, target)
 	}
-	if len(e.targets) < maxCrashedTargets || !e.until.IsZero() {
+	if len(e.targets) < limit || !e.until.IsZero() {
 		return false
 	}
 	e.until = now.Add(quarantineTime)
-	t.dropExplainedCrashes(f)
 	return true
 }
 
 // completedRecently reports whether the request completed within suspicionTime.
 func (t *Table) completedRecently(now time.Time, f work.Fingerprint) bool {
-	at, ok := t.completed.Peek(f)
-	return ok && now.Sub(at) < suspicionTime
+	c, ok := t.completed.Peek(f)
+	return ok && now.Sub(c.at) < suspicionTime
 }
 
 // addCrash records that a connection to a target was lost while the suspects were
@@ -155,8 +202,15 @@
 // RecordCompletion records that the request completed, so it does not crash
 // targets. This also ends a quarantine: an identical request that was still
 // running when the quarantine began has completed.
-func (t *Table) RecordCompletion(now time.Time, f work.Fingerprint) {
-	t.completed.Add(f, now)
+func (t *Table) RecordCompletion(now time.Time, r work.Identity) {
+	t.complete(r.Content, completion{at: now})
+	if r.ByCaller != 0 {
+		t.complete(r.ByCaller, completion{at: now, byCaller: true})
+	}
+}
+
+func (t *Table) complete(f work.Fingerprint, c completion) {
+	t.completed.Add(f, c)
 	if t.entries[f] == nil {
 		return
 	}
@@ -234,14 +288,16 @@
 	return list[:min(n, len(list))]
 }
 
-// Learn adds quarantines from notices. Those of requests that completed recently on
-// this daemon are ignored.
+// Learn adds quarantines from notices. It ignores those of requests that completed on
+// this daemon recently or, for a request of one caller, since the peer's quarantine was
+// last extended.
 func (t *Table) Learn(now time.Time, notices []Notice) {
 	for _, n := range notices {
-		if t.completedRecently(now, n.Fingerprint) {
+		remaining := min(n.Left, quarantineTime)
+		if c, ok := t.completed.Peek(n.Fingerprint); ok && now.Sub(c.at) < suspicionTime &&
+			(!c.byCaller || c.at.After(now.Add(remaining-quarantineTime))) {
 			continue
 		}
-		remaining := min(n.Left, quarantineTime)
 		e := t.entries[n.Fingerprint]
 		if e == nil {
 			t.evictIfFull()
--- a/router/departure_test.go
+++ b/router/departure_test.go
@@ -22,9 +22,9 @@
 	d.ran++
 	return work.Response{Outcome: outcome.Ran, Status: http.StatusOK}
 }
-func (*quickTargets) Prepare(*configuration.Service)                     {}
-func (*quickTargets) SetReplicas(dispatch.Replicas)                      {}
-func (d *quickTargets) Await(context.Context) *configuration.Snapshot    { return d.Current() }
+func (*quickTargets) Prepare(*configuration.Service)                  {}
+func (*quickTargets) SetReplicas(dispatch.Replicas)                   {}
+func (d *quickTargets) Await(context.Context) *configuration.Snapshot { return d.Current() }
 func (*quickTargets) Current() *configuration.Snapshot {
 	s, err := configuration.NewSnapshot(configuration.Draft{
 		Services: []*configuration.Service{{Name: "payments"}},
--- a/schedule/benchmark_test.go
+++ b/schedule/benchmark_test.go
@@ -37,7 +37,7 @@
 			now := time.Unix(0, 0)
 			for i := range b.N {
 				now = now.Add(time.Millisecond)
-				job := Job{Ticket: Ticket(i + 1), Route: route, Fingerprint: work.Fingerprint(i), Deadline: now.Add(time.Second)}
+				job := Job{Ticket: Ticket(i + 1), Route: route, Identity: work.Identity{Content: work.Fingerprint(i)}, Deadline: now.Add(time.Second)}
 				s.Arrive(now, job)
 				s.Finish(now, job.Ticket, Result{Ending: outcome.Answered, Elapsed: time.Duration(10+i%7) * time.Millisecond})
 				s.Next(now)
--- a/schedule/change_test.go
+++ b/schedule/change_test.go
@@ -43,7 +43,7 @@
 				}
 				byList.UpdateTargets(now, whole)
 			}
-			job := Job{Ticket: Ticket(step + 1), Route: route, Fingerprint: work.Fingerprint(step), Deadline: now.Add(time.Second)}
+			job := Job{Ticket: Ticket(step + 1), Route: route, Identity: work.Identity{Content: work.Fingerprint(step)}, Deadline: now.Add(time.Second)}
 			d := byChange.Arrive(now, job)
 			require.Equal(t, d, byList.Arrive(now, job), "seed %d, step %d", seed, step)
 			if d.Kind == Granted {
--- a/schedule/choice.go
+++ b/schedule/choice.go
@@ -51,7 +51,7 @@
 	overcommitted := t.running >= int(s.slots(t.endpoint))
 	inputs := s.inputs(now, t, job)
 	inputs.Chosen = choice
-	g := &grant{job: job, target: t, startedAt: now, suspect: s.quarantine.Suspect(job.Fingerprint), overcommitted: overcommitted, pending: overcommitted}
+	g := &grant{job: job, target: t, startedAt: now, suspect: s.quarantine.Suspect(job.Identity), overcommitted: overcommitted, pending: overcommitted}
 	t.running++
 	s.markUnsent(t)
 	t.lastUsed = now
@@ -88,7 +88,7 @@
 	if job.Route.Long && s.runningLong() >= s.longLimit(now) {
 		return nil, ""
 	}
-	suspect := s.quarantine.Suspect(job.Fingerprint)
+	suspect := s.quarantine.Suspect(job.Identity)
 	if t := s.newcomerTarget(now, job, suspect); t != nil {
 		return t, ByNewcomer
 	}
--- a/schedule/result.go
+++ b/schedule/result.go
@@ -124,7 +124,7 @@
 		return
 	case outcome.Lost, outcome.WriteFailed:
 		t.startBackoff(now)
-		if s.quarantine.RecordCrash(now, job.Fingerprint, t.endpoint.ID) {
+		if s.quarantine.RecordCrash(now, g.startedAt, job.Identity, t.endpoint.ID) {
 			s.counts.Quarantined++
 		}
 		return
@@ -136,7 +136,7 @@
 	case outcome.Answered:
 		t.resetBackoff()
 		if !r.Wrong {
-			s.quarantine.RecordCompletion(now, job.Fingerprint)
+			s.quarantine.RecordCompletion(now, job.Identity)
 			s.serviceTime(job.Route.Name).add(r.Elapsed)
 		}
 		sample.Wrong = r.Wrong
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -151,7 +151,7 @@
 		}
 	}
 	job.Route = &route
-	job.Fingerprint = (&work.Request{URI: contents}).Fingerprint()
+	job.Identity = (&work.Request{URI: contents}).Identity()
 	s.names[job.Ticket] = name
 	lines := formatDecision(name, s.scheduler.Arrive(s.clock.Now(), job))
 	if events := s.next(); events != "" {
--- a/schedule/scheduler.go
+++ b/schedule/scheduler.go
@@ -23,10 +23,10 @@
 
 // Job is a request that needs a slot: room for one concurrent request on a target.
 type Job struct {
-	Ticket      Ticket
-	Caller      id.Caller
-	Route       *configuration.Route
-	Fingerprint work.Fingerprint
+	Ticket   Ticket
+	Caller   id.Caller
+	Route    *configuration.Route
+	Identity work.Identity
 	// Deadline is when the response must be complete.
 	Deadline time.Time
 	// Size is the length of the request body; negative if it is not known.
@@ -268,7 +268,7 @@
 	if len(job.Tried) == 0 {
 		s.requests.recordArrival(now, job)
 	}
-	if s.quarantine.Quarantined(now, job.Fingerprint) {
+	if s.quarantine.Quarantined(now, job.Identity) {
 		return s.refuse(work.Quarantined, 0)
 	}
 	if d, refused := s.refuseLate(now, job); refused {
--- a/work/work.go
+++ b/work/work.go
@@ -24,6 +24,8 @@
 type Request struct {
 	ID     id.Request
 	Caller id.Caller
+	// Origin is empty if it is not known.
+	Origin id.Origin
 	// Key is empty if the caller sent no idempotency key.
 	Key    id.Key
 	Method string
@@ -75,6 +77,34 @@
 	return Fingerprint(h.Sum64())
 }
 
+// Identity identifies the requests that are the same when they come again. Whether a
+// request crashes targets may depend on parts of it that its content leaves out, such as
+// header fields, which are the same for one caller.
+type Identity struct {
+	// Content is the fingerprint of what is sent, by any caller.
+	Content Fingerprint
+	// ByCaller is the fingerprint of the content as sent by one caller; zero if the
+	// caller is not known.
+	ByCaller Fingerprint
+}
+
+// Identity returns the identity of the request. Its caller is known by the client
+// account or, without one, by the origin.
+func (r *Request) Identity() Identity {
+	identity := Identity{Content: r.Fingerprint()}
+	if r.Caller == "" && r.Origin == "" {
+		return identity
+	}
+	h := xxhash.New()
+	writePart(h, binary.BigEndian.AppendUint64(nil, uint64(identity.Content)))
+	writePart(h, []byte(r.Caller))
+	if r.Caller == "" {
+		writePart(h, []byte(r.Origin))
+	}
+	identity.ByCaller = Fingerprint(h.Sum64())
+	return identity
+}
+
 // writePart hashes the length of a part before the part, so that different
 // sequences of parts are different inputs.
 func writePart(h *xxhash.Digest, part []byte) {
