--- a/caller/caller.go
+++ b/caller/caller.go
@@ -49,9 +49,9 @@
 // dialect is the protocol of the callers: it decodes their requests and encodes
 // the header fields of responses.
 type dialect interface {
-	// Decode converts the parsed header section of a request. The text of the
-	// error is sent to the caller and states what is accepted.
-	Decode(r *http.Request, now time.Time) (*work.Request, error)
+	// Decode converts the parsed header section of a request, which had arrived at a
+	// time. The text of the error is sent to the caller and states what is accepted.
+	Decode(r *http.Request, arrivedAt time.Time) (*work.Request, error)
 	// Encode returns the header fields of a response.
 	Encode(request id.Request, response work.Response) http.Header
 }
--- a/caller/connection.go
+++ b/caller/connection.go
@@ -138,7 +138,7 @@
 		c.refuseHeader(err)
 		return false
 	}
-	x := &transaction{connection: c, request: r, limits: limits}
+	x := &transaction{connection: c, request: r, limits: limits, arrivedAt: c.input.arrivedAt(c.reader.Buffered())}
 	return x.run()
 }
 
@@ -165,6 +165,9 @@
 	connection *connection
 	request    *http.Request
 	limits     limits
+	// arrivedAt is when the header section had arrived. A pipelined request has waited
+	// since then for the requests before it.
+	arrivedAt time.Time
 	// body is the request body while it has not been read whole; nil if it has
 	// been buffered whole or is empty.
 	body *eofReader
@@ -178,7 +181,7 @@
 		x.id = id.NewRequest()
 		return x.write(response) && !x.closesConnection()
 	}
-	req, err := s.dialect.Decode(x.request, time.Now())
+	req, err := s.dialect.Decode(x.request, x.arrivedAt)
 	if err != nil {
 		x.refuse(http.StatusBadRequest, work.BadRequest, err)
 		c.linger()
--- a/caller/connection_test.go
+++ b/caller/connection_test.go
@@ -61,17 +61,20 @@
 // requests.
 type stubDialect struct{}
 
-func (stubDialect) Decode(r *http.Request, _ time.Time) (*work.Request, error) {
+func (stubDialect) Decode(r *http.Request, arrivedAt time.Time) (*work.Request, error) {
 	if r.URL.Path == "/wrong" {
 		return nil, errors.New("wrong path")
 	}
-	return &work.Request{ID: id.Request(r.URL.Path), Method: r.Method, Path: r.URL.Path, Host: r.Host}, nil
+	return &work.Request{ID: id.Request(r.URL.Path), Method: r.Method, Path: r.URL.Path, Host: r.Host, Deadline: arrivedAt.Add(callerTimeout)}, nil
 }
 
 func (stubDialect) Encode(_ id.Request, response work.Response) http.Header {
 	return http.Header{"X-Outcome": {string(response.Outcome)}}
 }
 
+// callerTimeout is how long the callers of stubDialect wait.
+const callerTimeout = time.Minute
+
 type connectionScript struct {
 	server  *Server
 	started time.Time
@@ -169,6 +172,8 @@
 		if p := req.Departure; p != nil {
 			s.recordCall(fmt.Sprintf("held until %s, cut off at %s", p.HeldUntil.Sub(s.started), p.CutAt.Sub(s.started)))
 		}
+	case "/deadline":
+		s.recordCall(fmt.Sprintf("arrived at %s", req.Deadline.Add(-callerTimeout).Sub(s.started)))
 	case "/cut":
 		response.Size, response.Rest = 100, io.NopCloser(io.MultiReader(strings.NewReader("half"), failingReader{}))
 	case "/stream":
--- a/caller/receivebuffer.go
+++ b/caller/receivebuffer.go
@@ -31,6 +31,12 @@
 	// data holds the bytes that were received and not read yet. Receiving stops
 	// while it holds receiveBufferSize bytes or more.
 	data []byte
+	// received and consumed count the bytes that were received and those of them that
+	// were read.
+	received, consumed int64
+	// arrivals holds when the bytes arrived that have not been read and parsed yet,
+	// oldest first; at most maxArrivals.
+	arrivals []arrival
 	// reserved is the memory reserved for data, at least len(data) - receiveChunkSize.
 	reserved unit.Bytes
 	// err is the reason why no more bytes will be received; nil while more may
@@ -46,7 +52,18 @@
 	paused bool
 }
 
+// arrival is the arrival of bytes at a time.
+type arrival struct {
+	// end is how many bytes of the connection had arrived then.
+	end int64
+	at  time.Time
+}
+
 const (
+	// maxArrivals bounds the arrivals that are kept apart. It suffices for a full buffer
+	// unless its bytes arrive in small pieces; a piece beyond it counts as having arrived
+	// with the one before.
+	maxArrivals = 32
 	// receiveBufferSize bounds the bytes of bodies and pipelined requests that are
 	// received ahead of reading. The buffer may exceed it by less than
 	// receiveChunkSize.
@@ -200,12 +217,31 @@
 func (b *receiveBuffer) store(data []byte, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.err == nil {
+	if b.err == nil && len(data) > 0 {
 		b.data = append(b.data, data...)
+		b.received += int64(len(data))
+		if len(b.arrivals) < maxArrivals {
+			b.arrivals = append(b.arrivals, arrival{at: time.Now()})
+		}
+		b.arrivals[len(b.arrivals)-1].end = b.received
 	}
 	b.end(err)
 }
 
+// arrivedAt returns when the last byte arrived that was read and, of those, is not among
+// the given number of unparsed ones.
+func (b *receiveBuffer) arrivedAt(unparsed int) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	last := b.consumed - int64(unparsed)
+	for _, a := range b.arrivals {
+		if a.end >= last {
+			return a.at
+		}
+	}
+	return time.Now()
+}
+
 // Read returns buffered bytes and blocks while there are none.
 func (b *receiveBuffer) Read(p []byte) (int, error) {
 	b.mu.Lock()
@@ -218,6 +254,8 @@
 	}
 	n := copy(p, b.data)
 	b.data = b.data[n:]
+	b.consumed += int64(n)
+	b.forgetArrivals()
 	if len(b.data) == 0 {
 		b.clear()
 	}
@@ -226,6 +264,16 @@
 	return n, nil
 }
 
+// forgetArrivals forgets the arrivals of bytes that have left the reader of the
+// connection too. The caller holds mu.
+func (b *receiveBuffer) forgetArrivals() {
+	parsed := 0
+	for parsed < len(b.arrivals) && b.arrivals[parsed].end <= b.consumed-readBufferSize {
+		parsed++
+	}
+	b.arrivals = b.arrivals[parsed:]
+}
+
 var errStopped = errors.New("daemon is stopping")
 
 // awaitFirstByte waits for the first byte of a request or the end of the
