roster: a daemon whose clock was set back replaces its predecessor

Cause: of two processes of a host, the one with the higher incarnation, its start time, counted as the later one. After the host's clock was set back, the new process had a lower one, so that its peers ignored what it said of itself: callers were not sent to it, and it stayed dead or leaving as its predecessor had been (suspected in the review).

Change: members have a precedence, the incarnation unless the daemon hears, while it joins, of another process of its host that is not below it; then it takes one more. A peer whose entry of the sender is of another process sends it this entry. A process that was paused while its host was replaced does not do so, since it is not joining.

Test: roster script clockback. Without precede, "b:9.0:Dead" stays in all views.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -58,6 +58,9 @@
 	Peers   id.Address
 	// Incarnation identifies the process. It is zero for an Unseen member.
 	Incarnation id.Incarnation
+	// Precedence orders the processes of one host, the later one higher. It is the
+	// incarnation, or more if the clock of the host was set back between two of them.
+	Precedence uint64
 	// Sequence orders the updates about one incarnation; it is what SWIM calls the
 	// incarnation number. Only the member itself raises it.
 	Sequence uint64
@@ -66,10 +69,14 @@
 	Room unit.Millicores
 }
 
+// precedence returns the precedence of a member that may come from a daemon of an
+// earlier version, which sends none.
+func (m Member) precedence() uint64 { return max(m.Precedence, uint64(m.Incarnation)) }
+
 // newer reports whether update a about a host replaces b.
 func newer(a, b Member) bool {
 	return cmp.Or(
-		cmp.Compare(a.Incarnation, b.Incarnation),
+		cmp.Compare(a.precedence(), b.precedence()),
 		cmp.Compare(a.Sequence, b.Sequence),
 		cmp.Compare(a.State, b.State),
 	) > 0
@@ -85,6 +92,9 @@
 	sendsLeft int
 	// listed is set if the platform lists the host.
 	listed bool
+	// disputed is set if another process of the host, which takes itself for the later
+	// one, has sent an update with a lower precedence.
+	disputed bool
 	// listedLeaving is set if the platform's last entry for the host was marked as
 	// leaving.
 	listedLeaving bool
@@ -223,7 +233,7 @@
 	if e.State != m.State || e.Incarnation != m.Incarnation {
 		e.since = now
 	}
-	e.Member = m
+	e.Member, e.disputed = m, false
 	t.enqueue(e)
 }
 
@@ -237,7 +247,11 @@
 // refute raises this daemon's sequence above that of an update that calls it
 // suspect or dead.
 func (t *Table) refute(m Member) {
-	if m.Incarnation != t.self.Incarnation || m.Sequence < t.self.Sequence {
+	if m.Incarnation != t.self.Incarnation {
+		t.precede(m)
+		return
+	}
+	if m.Sequence < t.self.Sequence {
 		return
 	}
 	if m.State != Suspect && m.State != Dead {
@@ -247,14 +261,30 @@
 	t.generation++
 }
 
+// precede raises this daemon's precedence above that of another process of its host. It
+// does so only while it is joining: what is known of its host then is from a process that
+// ran before. Later, this may be the earlier process, which was paused while the host was
+// replaced.
+func (t *Table) precede(m Member) {
+	if t.self.State != Joining || m.precedence() < t.self.precedence() {
+		return
+	}
+	t.self.Precedence = m.precedence() + 1
+	t.generation++
+}
+
 // MergeSender applies an update that a member sent about itself. It does not clear a
 // suspicion with the same sequence: the next message to the member carries the
 // suspicion, and the member refutes it by a higher sequence. If this daemon cleared
 // it without that, other daemons would send the suspicion again, and the state would
 // alternate.
 func (t *Table) MergeSender(now time.Time, m Member) {
-	if m.Host != t.self.Host {
-		t.mergeUpdate(now, m)
+	if m.Host == t.self.Host {
+		return
+	}
+	t.mergeUpdate(now, m)
+	if e := t.members[m.Host]; e != nil && e.Incarnation != m.Incarnation {
+		e.disputed = true
 	}
 }
 
@@ -348,7 +378,8 @@
 // NextUpdates returns up to n updates for a message to the receiver and counts
 // them as sent. Those with the most sends left go first. An update about the
 // receiver goes before all others and is always included while the receiver is
-// suspect or dead, so that it can refute.
+// suspect or dead, or another process of its host is taken for the later one, so that it
+// can refute.
 func (t *Table) NextUpdates(n int, receiver id.Host) []Member {
 	var list []*entry
 	for host := range t.pending {
@@ -359,7 +390,7 @@
 		}
 		list = append(list, e)
 	}
-	if e := t.members[receiver]; e != nil && (e.State == Suspect || e.State == Dead) && !t.pending[receiver] {
+	if e := t.members[receiver]; e != nil && (e.State == Suspect || e.State == Dead || e.disputed) && !t.pending[receiver] {
 		list = append(list, e)
 	}
 	slices.SortFunc(list, func(a, b *entry) int {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -47,6 +47,14 @@
 		n, _ := strconv.Atoi(w[2])
 		s.start(id.Host(w[1]), id.Incarnation(n))
 		return ""
+	case "rejoin":
+		n, _ := strconv.Atoi(w[2])
+		s.start(id.Host(w[1]), id.Incarnation(n))
+		s.tables[id.Host(w[1])].self.State = Joining
+		return ""
+	case "joined":
+		s.tables[id.Host(w[1])].SetState(Alive)
+		return ""
 	case "ping":
 		s.ping(id.Host(w[1]), id.Host(w[2]))
 		return ""
