roster: members lost without a word are known for two hours

Cause: a dead member was forgotten after a minute. In a partition of longer than that, each side took itself for the whole fleet, and both together for twice the budget of retries (suspected in the review). Regions may lose each other for an hour.

Change: a member that had announced that it leaves is forgotten after a minute, any other after two hours. Hosts that are lost for good make the budget smaller for that long.

Test: roster script partition; before, the lost member was gone after a minute. retry.TestBurstShare has the sum over both sides for what is known of them.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -92,6 +92,8 @@
 	sendsLeft int
 	// listed is set if the platform lists the host.
 	listed bool
+	// left is set if the process has announced that it leaves.
+	left bool
 	// disputed is set if another process of the host, which takes itself for the later
 	// one, has sent an update with a lower precedence.
 	disputed bool
@@ -101,9 +103,13 @@
 }
 
 const (
-	// deadRetention is how long a dead member that the platform does not list is
-	// kept.
-	deadRetention = time.Minute
+	// leftRetention is how long a dead member is kept that had announced that it leaves
+	// and that the platform does not list.
+	leftRetention = time.Minute
+	// lostRetention is how long any other dead member that the platform does not list
+	// is kept. It may be on the other side of a network partition, and then has its part
+	// in what the daemons share.
+	lostRetention = 2 * time.Hour
 	// retransmitFactor is the factor in the number of messages that carry each
 	// update: retransmitFactor * ceil(log2(n+1)) for n daemons.
 	retransmitFactor = 2
@@ -233,6 +239,10 @@
 	if e.State != m.State || e.Incarnation != m.Incarnation {
 		e.since = now
 	}
+	if e.Incarnation != m.Incarnation || m.State < Leaving {
+		e.left = false
+	}
+	e.left = e.left || m.State == Leaving
 	e.Member, e.disputed = m, false
 	t.enqueue(e)
 }
@@ -300,20 +310,28 @@
 }
 
 // Tick declares members dead whose suspicion has timed out and removes dead members
-// that the platform does not list after deadRetention.
+// that the platform does not list after leftRetention or lostRetention.
 func (t *Table) Tick(now time.Time) {
 	for host, e := range t.members {
 		switch {
 		case e.State == Suspect && now.Sub(e.since) >= t.cfg.SuspicionTimeout:
 			e.State, e.since = Dead, now
 			t.enqueue(e)
-		case e.State == Dead && !e.listed && now.Sub(e.since) >= deadRetention:
+		case e.State == Dead && !e.listed && now.Sub(e.since) >= e.retention():
 			delete(t.members, host)
 			t.generation++
 		}
 	}
 }
 
+// retention returns how long the member is kept once it is dead.
+func (e *entry) retention() time.Duration {
+	if e.left {
+		return leftRetention
+	}
+	return lostRetention
+}
+
 // RestartSuspicions restarts the timeout of every suspicion. It is called after
 // this process was paused, because no refutation could be received during the
 // pause.
