registry: a confirmation of a copy counts once

Cause: each message of a feed has the age of the sender's copy, without the time that the message takes. Two daemons that follow each other passed the same confirmation back and forth, and it looked newer by that time on each way, so that an old copy counted as fresh and they did not read from the platform (suspected in the review).

Change: a confirmation has the daemon that called the platform and a number, and each daemon takes it once. Those of older daemons, which send neither, are taken as before.

Test: registry.TestFollowersOfEachOther, 50 ms a message, nothing from the platform for 10 s: with the check taken out the copy is 0 s old, with it 10 s. registry.TestConfirmersForgotten bounds what is remembered.

--- a/peer/feed.go
+++ b/peer/feed.go
@@ -126,7 +126,10 @@
 // encode returns the message. If it returns an error too, the message holds a whole
 // configuration in place of a patch that could not be made.
 func (e *feedEncoder) encode(m registry.FeedMessage) (*peerpb.FeedMessage, error) {
-	f := &peerpb.FeedMessage{At: uint64(m.Listing.Revision), Whole: m.Listing.Full, AgeMilliseconds: m.Age.Milliseconds()}
+	f := &peerpb.FeedMessage{
+		At: uint64(m.Listing.Revision), Whole: m.Listing.Full, AgeMilliseconds: m.Age.Milliseconds(),
+		Confirmer: uint64(m.Confirmation.By), Confirmation: m.Confirmation.Number,
+	}
 	if m.Age < 0 {
 		f.AgeMilliseconds = -1
 	}
@@ -164,8 +167,9 @@
 
 func (d *feedDecoder) decode(f *peerpb.FeedMessage) (registry.FeedMessage, error) {
 	m := registry.FeedMessage{
-		Listing: registry.Listing{Revision: registry.Revision(f.GetAt()), Full: f.GetWhole()},
-		Age:     time.Duration(f.GetAgeMilliseconds()) * time.Millisecond,
+		Listing:      registry.Listing{Revision: registry.Revision(f.GetAt()), Full: f.GetWhole()},
+		Age:          time.Duration(f.GetAgeMilliseconds()) * time.Millisecond,
+		Confirmation: registry.Confirmation{By: id.Incarnation(f.GetConfirmer()), Number: f.GetConfirmation()},
 	}
 	for _, u := range f.GetUpdates() {
 		update := registry.Update{Revision: registry.Revision(u.GetRevision()), Target: id.Target(u.GetTarget()), Configuration: u.GetConfiguration()}
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -45,9 +45,7 @@
 	r.mu.Lock()
 	before := r.view.Configuration()
 	applied := r.view.ApplyFromPeer(now, m.Listing)
-	if m.Age >= 0 {
-		r.confirm(f.host, now.Add(-m.Age))
-	}
+	r.confirmFromPeer(now, f.host, m)
 	if m.Age < 0 || m.Age > r.selector.maxCopyAge() {
 		r.selector.recordFailure(now, f.host)
 	}
--- a/registry/reader.go
+++ b/registry/reader.go
@@ -144,9 +144,9 @@
 	p.revision = max(p.revision, l.Revision)
 	if l.Full {
 		p.revision = l.Revision
-		r.confirm("", started)
+		r.confirmFromPlatform(started)
 	} else {
-		r.confirm("", now)
+		r.confirmFromPlatform(now)
 	}
 	r.mu.Unlock()
 	if p.failures > 0 {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -71,6 +71,8 @@
 	Listing Listing
 	// Age is the age of the sender's copy; negative while it has none.
 	Age time.Duration
+	// Confirmation is what Age counts from.
+	Confirmation Confirmation
 }
 
 type Config struct {
@@ -92,6 +94,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	group  conc.WaitGroup
+	// self is this process.
+	self id.Incarnation
 
 	// notifyMu is held while targets are read and passed to watchers, so that
 	// they never get an older state after a newer one. It is locked before mu.
@@ -104,6 +108,12 @@
 	view     *View
 	feed     *backlog.Log[Update]
 	selector *sourceSelector
+	// confirmations tells which confirmations were received from other daemons.
+	confirmations confirmations
+	// ownConfirmations counts the confirmations of the platform to this process.
+	ownConfirmations uint64
+	// latest is the confirmation of the latest time in confirmed.
+	latest Confirmation
 	// confirmed is the time as of which each source last confirmed that the
 	// copy is complete. The empty host stands for the platform. The entry of a
 	// source that is no longer read stays valid.
@@ -126,7 +136,7 @@
 func New(cfg Config) *Registry {
 	return &Registry{
 		cfg: cfg, view: NewView(), confirmed: make(map[id.Host]time.Time), followers: make(map[id.Host]*follower),
-		watchers: make(map[id.Service][]*watcher), notified: make(map[id.Target]id.Service), feed: backlog.New[Update](feedCapacity),
+		confirmations: make(confirmations), watchers: make(map[id.Service][]*watcher), notified: make(map[id.Target]id.Service), feed: backlog.New[Update](feedCapacity),
 	}
 }
 
@@ -141,6 +151,7 @@
 	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	self := r.peers.Self()
+	r.self = self.Incarnation
 	r.selector = newSourceSelector(Daemon{Host: self.Host, FailureDomain: self.FailureDomain}, r.cfg.Seed, r.cfg.InForce, time.Now())
 	r.group.Go(func() { r.loop(r.ctx) })
 	return nil
@@ -263,7 +274,14 @@
 
 // confirm records that a source confirmed that the copy is complete as of a
 // time. The caller holds mu.
-func (r *Registry) confirm(source id.Host, at time.Time) {
+func (r *Registry) confirm(source id.Host, at time.Time, c Confirmation) {
+	latest := true
+	for _, other := range r.confirmed {
+		latest = latest && at.After(other)
+	}
+	if latest {
+		r.latest = c
+	}
 	if at.After(r.confirmed[source]) {
 		r.confirmed[source] = at
 	}
@@ -273,6 +291,21 @@
 	}
 }
 
+// confirmFromPlatform records that the platform confirmed that the copy is complete as of
+// a time. The caller holds mu.
+func (r *Registry) confirmFromPlatform(at time.Time) {
+	r.ownConfirmations++
+	r.confirm("", at, Confirmation{By: r.self, Number: r.ownConfirmations})
+}
+
+// confirmFromPeer records the age of a peer's copy. It ignores a confirmation that is
+// already known. The caller holds mu.
+func (r *Registry) confirmFromPeer(now time.Time, host id.Host, m FeedMessage) {
+	if m.Age >= 0 && m.Confirmation.By != r.self && r.confirmations.add(now, m.Confirmation) {
+		r.confirm(host, now.Add(-m.Age), m.Confirmation)
+	}
+}
+
 // announceInterval is by how much a copy must have become newer for its followers to be
 // told at once. They would hear it with the next regular message, and theirs a further
 // one later.
@@ -335,7 +368,7 @@
 func (r *Registry) Changes(c backlog.Cursor, first bool) (FeedMessage, backlog.Cursor, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	m := FeedMessage{Age: r.age(time.Now(), true)}
+	m := FeedMessage{Age: r.age(time.Now(), true), Confirmation: r.latest}
 	updates, ok := r.feed.Since(c)
 	if first || !ok {
 		m.Listing = r.view.FullListing()
