--- a/caller/tasks_test.go
+++ b/caller/tasks_test.go
@@ -118,15 +118,15 @@
 			_, err = io.Copy(io.Discard, resp.Body)
 			require.NoError(t, err)
 		}},
-		{"upload broken off", func(_ context.Context, req *work.Request) work.Response {
+		{"upload broken off", func(ctx context.Context, req *work.Request) work.Response {
 			io.Copy(io.Discard, req.Body.Rest)
-			return refuse(nil, nil)
+			return refuse(ctx, nil)
 		}, 200, func(t *testing.T, conn *net.TCPConn) {
 			require.NoError(t, sendUpload(conn, uploadSize/2))
 		}},
 		{"upload broken off while it waits", func(ctx context.Context, _ *work.Request) work.Response {
 			<-ctx.Done()
-			return refuse(nil, nil)
+			return refuse(ctx, nil)
 		}, 200, func(t *testing.T, conn *net.TCPConn) {
 			require.NoError(t, sendUpload(conn, uploadSize/2))
 			require.NoError(t, conn.SetLinger(0))
@@ -224,7 +224,7 @@
 				close(waiting)
 				<-ctx.Done()
 				close(left)
-				return refuse(nil, nil)
+				return refuse(ctx, nil)
 			})
 			conn := l.dial(t)
 			defer conn.Close()
