caller: a passed deadline ends a read, not the receiving of the connection

Callers could see: a request whose header section arrived just at its timeout was handled, but its caller was no longer watched: it kept its place and was sent to a target after the caller had left, and its body could not be read.

Cause: a read timeout ended the receiving task for good. The deadline of the header section is lifted by the other task a moment after the header has arrived; if it passed in between, the task had ended without a word.

Fix: the timeout is kept with the deadline and reported to whoever reads; receiving continues when another deadline is set. A closed connection still ends both tasks.

Test: TestTimeoutOfHeadDoesNotEndReceiving; the code before ends the task at the timeout, so that the body is never received.

--- a/caller/receivebuffer.go
+++ b/caller/receivebuffer.go
@@ -21,8 +21,7 @@
 	// memory limits the bytes that the buffers of all connections hold beyond one chunk
 	// each.
 	memory *memory.Limiter
-	// onDisconnect is called at most once, when receiving has ended for a
-	// reason other than a read timeout.
+	// onDisconnect is called once, when receiving has ended.
 	onDisconnect func()
 
 	mu sync.Mutex
@@ -47,6 +46,10 @@
 	awaitingRequest bool
 	// deadline is the read deadline. The connection has it unless paused is set.
 	deadline time.Time
+	// expired is the error of a read during which the deadline has passed; nil again once
+	// another deadline is set. Receiving continues then: the request that the deadline was
+	// meant for may just have arrived.
+	expired error
 	// paused is set while the buffer is full and the receiving task waits for the end
 	// of the connection instead of more bytes.
 	paused bool
@@ -81,18 +84,16 @@
 	return b
 }
 
-// loop receives bytes until the connection ends or a read times out. It runs as
-// a task of its own beside the one that serves the connection's requests. It only ever
-// waits for the connection, so it ends when the connection is closed.
+// loop receives bytes until the connection ends. It runs as a task of its own beside the
+// one that serves the connection's requests. It waits for the connection or, when the
+// deadline has passed, for the other task, so it ends when the connection is closed.
 func (b *receiveBuffer) loop() {
 	chunk := make([]byte, receiveChunkSize)
 	for b.awaitSpace() {
 		n, err := b.conn.Read(chunk)
 		b.store(chunk[:n], err)
 	}
-	if !b.timedOut() {
-		b.onDisconnect()
-	}
+	b.onDisconnect()
 }
 
 // close closes the connection and ends the wait of all tasks that use the buffer.
@@ -111,19 +112,28 @@
 	b.reserved = 0
 }
 
-// timedOut reports whether receiving ended because of a read timeout.
+// timedOut reports whether the deadline has passed while bytes were awaited.
 func (b *receiveBuffer) timedOut() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return errors.Is(b.err, os.ErrDeadlineExceeded)
+	return b.expired != nil
+}
+
+// ended returns why no bytes come, or nil if more may come. The caller holds mu.
+func (b *receiveBuffer) ended() error {
+	if b.err == nil {
+		return b.expired
+	}
+	return b.err
 }
 
-// setDeadline sets the time after which receiving ends if no bytes arrive; the zero time
+// setDeadline sets the time after which reading fails if no bytes arrive; the zero time
 // removes it.
 func (b *receiveBuffer) setDeadline(t time.Time) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.deadline = t
+	b.deadline, b.expired = t, nil
+	defer b.changed.Broadcast()
 	if b.paused {
 		return nil
 	}
@@ -134,8 +144,8 @@
 func (b *receiveBuffer) awaitSpace() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for b.err == nil && !b.hasSpace() {
-		if conn, ok := b.conn.(syscall.Conn); ok {
+	for b.err == nil && (b.expired != nil || !b.hasSpace()) {
+		if conn, ok := b.conn.(syscall.Conn); ok && b.expired == nil {
 			b.awaitSpaceOrEnd(conn)
 			continue
 		}
@@ -213,7 +223,7 @@
 	}
 }
 
-// store appends received bytes and records the first error.
+// store appends received bytes and records a timeout or the first error.
 func (b *receiveBuffer) store(data []byte, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -225,6 +235,13 @@
 		}
 		b.arrivals[len(b.arrivals)-1].end = b.received
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// The other task may have set another deadline since the read failed.
+		if !b.deadline.IsZero() && !time.Now().Before(b.deadline) {
+			b.expired = err
+		}
+		err = nil
+	}
 	b.end(err)
 }
 
@@ -247,8 +264,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for len(b.data) == 0 {
-		if b.err != nil {
-			return 0, b.err
+		if err := b.ended(); err != nil {
+			return 0, err
 		}
 		b.changed.Wait()
 	}
@@ -284,8 +301,8 @@
 	b.awaitingRequest = true
 	defer func() { b.awaitingRequest = false }()
 	for len(b.data) == 0 {
-		if b.err != nil {
-			return b.err
+		if err := b.ended(); err != nil {
+			return err
 		}
 		b.changed.Wait()
 	}
@@ -309,7 +326,7 @@
 func (b *receiveBuffer) discardUntilClosed() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for b.err == nil {
+	for b.ended() == nil {
 		b.clear()
 		b.resume()
 		b.changed.Broadcast()
--- a/caller/tasks_test.go
+++ b/caller/tasks_test.go
@@ -187,6 +187,28 @@
 	return len(files)
 }
 
+// TestTimeoutOfHeadDoesNotEndReceiving guards against a request whose caller is no longer
+// watched, because the deadline of its header section passed just when it had arrived.
+func TestTimeoutOfHeadDoesNotEndReceiving(t *testing.T) {
+	serverConn, clientConn := net.Pipe()
+	disconnected := make(chan struct{})
+	b := newReceiveBuffer(serverConn, memory.New(0), func() { close(disconnected) })
+	var group sync.WaitGroup
+	group.Go(b.loop)
+	require.NoError(t, b.setDeadline(time.Now().Add(time.Millisecond)))
+	require.ErrorIs(t, b.awaitFirstByte(), os.ErrDeadlineExceeded)
+	require.True(t, b.timedOut())
+	require.NoError(t, b.setDeadline(time.Time{}))
+	go io.WriteString(clientConn, "body")
+	body := make([]byte, 4)
+	_, err := io.ReadFull(b, body)
+	require.NoError(t, err)
+	clientConn.Close()
+	<-disconnected
+	b.close()
+	group.Wait()
+}
+
 // TestRefusalReachesCallerThatStillSends guards against a reset in place of a refusal:
 // closing a connection while bytes of a body arrive resets it.
 func TestRefusalReachesCallerThatStillSends(t *testing.T) {
