caller: log and count what connections are doing and why they end

Cause: logs told a request's answer, but not what its connection was doing at the signal, at the close of the listener, at the cut and at its end; a request without an answer had only a line that the limit on request lines could drop, as it could the lines of a stop itself.

Change: each connection has a state and an ending, the first of which counts. A request that was read and ends without a complete answer has one warning with both, its time in progress and the bytes written. Each step of a stop logs the connections by state, and the stop ends with a summary; these lines are not sampled. An answer that the stop put in the place of a target's is a warning. Connections count what nobody read: bytes dropped by the daemon, and bytes left in the operating system, with which a close resets the connection. New counters caller_connections{ending,state} and caller_connections_reset, in the scope of the kernel service for metrics. "answer was not written whole" remains for requests that were not read whole. "stop timeout expired" is logged once, not also when the responses are overdue; that has a line of its own.

Nothing changes on the wire: the golden files of TestConnections are the same.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -17,11 +17,13 @@
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/kernel"
 	"github.com/briarrouter/briarrouter/memory"
+	"github.com/briarrouter/briarrouter/metric"
 	"github.com/briarrouter/briarrouter/roster"
 	"github.com/briarrouter/briarrouter/settings"
 	"github.com/briarrouter/briarrouter/work"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 )
 
 const ServiceName kernel.Name = "caller"
@@ -46,6 +48,11 @@
 	Current() *configuration.Snapshot
 }
 
+// metricSource provides the scope in which metrics are created.
+type metricSource interface {
+	Scope() tally.Scope
+}
+
 // dialect is the protocol of the callers: it decodes their requests and encodes
 // the header fields of responses.
 type dialect interface {
@@ -80,6 +87,10 @@
 	// slots holds an element for each open connection and one for the next connection
 	// to be accepted.
 	slots chan struct{}
+	// log has no limit on the rate of its lines, unlike that of the requests.
+	log zerolog.Logger
+	// scope is that of the kernel service for metrics; tally.NoopScope until Start.
+	scope tally.Scope
 	// closed is closed when no more connections are accepted.
 	closed chan struct{}
 	group  conc.WaitGroup
@@ -91,6 +102,8 @@
 	// departure is the plan of the stop in progress; nil if there is none, or if it
 	// waits for all requests.
 	departure atomic.Pointer[departure.Plan]
+	// stopRecord counts what happens during a stop.
+	stopRecord stopRecord
 
 	mu sync.Mutex
 	// connections is the set of open connections, guarded by mu.
@@ -105,6 +118,7 @@
 	s := &Server{
 		cfg: cfg, dialect: cfg.Dialect, slots: make(chan struct{}, cfg.Limits.CallerConnections), closed: make(chan struct{}),
 		connections: make(map[*connection]bool), connectionEnded: make(chan struct{}, 1),
+		log: cfg.Log.Sample(nil), scope: tally.NoopScope,
 	}
 	if s.dialect == nil {
 		s.dialect = Dialect{}
@@ -164,6 +178,11 @@
 	if s.configurations, err = kernel.Find[configurationSource](k, configuration.ServiceName); err != nil {
 		return err
 	}
+	metrics, err := kernel.Find[metricSource](k, metric.ServiceName)
+	if err != nil {
+		return err
+	}
+	s.scope = metrics.Scope()
 	listener, err := net.Listen("tcp", string(s.cfg.Address))
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
@@ -245,10 +264,15 @@
 		ctx, cancel = context.WithDeadline(ctx, plan.CutAt)
 		defer cancel()
 	}
+	s.stopRecord.begin()
 	s.departure.Store(plan)
 	s.membership.Leave(plan)
 	s.draining.Store(true)
-	s.cfg.Log.Info().Dur("Hold", timing.Hold).Int("Connections", s.connectionCount()).Msg("leaving; callers that hold this address are served")
+	event := s.log.Info().Dur("Hold", timing.Hold)
+	if plan != nil {
+		event.Dur("CutAfter", time.Until(plan.CutAt))
+	}
+	s.logStop(event, "leaving; callers that hold this address are served")
 	timer := time.NewTimer(timing.Hold + timing.LeaveMargin)
 	defer timer.Stop()
 	select {
@@ -257,15 +281,21 @@
 	}
 	close(s.closed)
 	err := s.listener.Close()
+	s.logStop(s.log.Info(), "connections from callers are no longer accepted; idle ones are closed")
 	s.closeIdle()
 	if !s.awaitConnections(ctx) {
+		s.stopRecord.addCutOff(s.states().inProgress())
+		s.logStop(s.log.Warn(), "stop timeout expired; requests in progress are cut off")
 		s.cancelRequests()
 		last, cancel := context.WithTimeout(context.Background(), lastResponseTime/2)
 		defer cancel()
-		s.awaitConnections(last)
+		if !s.awaitConnections(last) {
+			s.logStop(s.log.Warn(), "connections are closed by force")
+		}
 	}
 	s.closeConnections()
 	s.group.Wait()
+	s.log.Info().EmbedObject(&s.stopRecord).Msg("callers are no longer served")
 	return err
 }
 
@@ -304,7 +334,6 @@
 		select {
 		case <-s.connectionEnded:
 		case <-ctx.Done():
-			s.cfg.Log.Warn().Int("Connections", s.connectionCount()).Msg("stop timeout expired; requests in progress are cut off")
 			return false
 		}
 	}
@@ -315,23 +344,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.connections {
+		c.progress.finish(closedByForce)
 		c.close()
 	}
 }
 
 // State returns nil: the router counts the requests.
 func (s *Server) State() any { return nil }
-
-func (s *Server) logResponse(req *work.Request, response work.Response, took time.Duration, callerGone bool) {
-	s.cfg.Log.Info().
-		Str("Request", string(req.ID)).
-		Str("CallerHost", req.Host).
-		Str("Path", req.Path).
-		Int("Status", response.Status).
-		Str("Outcome", string(response.Outcome)).
-		Str("Reason", string(response.Reason)).
-		Dur("RetryAfter", response.RetryAfter).
-		Dur("Took", took).
-		Bool("CallerGone", callerGone).
-		Msg("request answered")
-}
--- a/caller/connection.go
+++ b/caller/connection.go
@@ -32,6 +32,13 @@
 	header *headerReader
 	reader *bufio.Reader
 	writer *bufio.Writer
+	// output is what writer writes to.
+	output *timeoutWriter
+	// progress changes where the connection's task goes from one step to the next.
+	progress progress
+	// lastRequest is the last request that was read; empty before one was. Only the
+	// connection's task uses it.
+	lastRequest id.Request
 	// ctx is cancelled when the caller disconnects, and with the cause errCutOff at the
 	// end of a stop.
 	ctx         context.Context
@@ -44,6 +51,12 @@
 
 func (c *connection) cancel() { c.cancelCause(nil) }
 
+// disconnected cancels the requests of a connection that has ended.
+func (c *connection) disconnected() {
+	c.progress.finish(endingOf(c.input.cause()))
+	c.cancel()
+}
+
 // callerGone reports whether the caller disconnected.
 func (c *connection) callerGone() bool {
 	return c.ctx.Err() != nil && !errors.Is(context.Cause(c.ctx), errCutOff)
@@ -66,10 +79,11 @@
 		c.origin = id.Origin(address.IP.String())
 	}
 	c.ctx, c.cancelCause = context.WithCancelCause(context.Background())
-	c.input = newReceiveBuffer(nc, s.cfg.Memory, c.cancel)
+	c.input = newReceiveBuffer(nc, s.cfg.Memory, c.disconnected)
 	c.header = &headerReader{input: c.input, remaining: -1}
 	c.reader = bufio.NewReaderSize(c.header, readBufferSize)
-	c.writer = bufio.NewWriterSize(&timeoutWriter{nc, s.timing.Load().SlowCaller}, writeBufferSize)
+	c.output = &timeoutWriter{conn: nc, timeout: s.timing.Load().SlowCaller}
+	c.writer = bufio.NewWriterSize(c.output, writeBufferSize)
 	return c
 }
 
@@ -78,19 +92,24 @@
 type timeoutWriter struct {
 	conn    net.Conn
 	timeout time.Duration
+	// written counts the bytes that the operating system accepted.
+	written unit.Bytes
 }
 
 func (w *timeoutWriter) Write(b []byte) (int, error) {
 	if err := w.conn.SetWriteDeadline(time.Now().Add(w.timeout)); err != nil {
 		return 0, err
 	}
-	return w.conn.Write(b)
+	n, err := w.conn.Write(b)
+	w.written += unit.Bytes(n)
+	return n, err
 }
 
 // run serves requests until the connection ends.
 func (c *connection) run() {
 	c.server.group.Go(c.input.loop)
 	defer c.server.remove(c)
+	defer c.server.recordEnd(c)
 	defer c.close()
 	for c.serveRequest() {
 	}
@@ -104,6 +123,7 @@
 // linger closes the write side and waits for the caller to close its side.
 func (c *connection) linger() {
 	if half, ok := c.conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		c.progress.enter(lingering)
 		c.setReadDeadline(lingerTime)
 		c.input.discardUntilClosed()
 	}
@@ -125,11 +145,14 @@
 func (c *connection) serveRequest() bool {
 	limits := c.server.limits()
 	if c.reader.Buffered() == 0 {
+		c.progress.enter(idle)
 		c.setReadDeadline(limits.IdleTimeout)
 		if err := c.input.awaitFirstByte(); err != nil {
+			c.progress.finish(endingOf(err))
 			return false
 		}
 	}
+	c.progress.enter(receivingHead)
 	c.setReadDeadline(limits.HeaderTimeout)
 	c.header.remaining = int(limits.Header)
 	r, err := http.ReadRequest(c.reader)
@@ -172,6 +195,8 @@
 	// been buffered whole or is empty.
 	body *eofReader
 	id   id.Request
+	// read is set when the request has been read, apart from a body that is streamed.
+	read bool
 }
 
 // run handles the request and reports whether the connection is kept open.
@@ -179,7 +204,8 @@
 	c, s := x.connection, x.connection.server
 	if response, ok := s.addressResponse(x.request); ok {
 		x.id = id.NewRequest()
-		return x.write(response) && !x.closesConnection()
+		x.beRead()
+		return x.write(response) && !x.endsConnection()
 	}
 	req, err := s.dialect.Decode(x.request, x.arrivedAt)
 	if err != nil {
@@ -196,6 +222,8 @@
 		return false
 	}
 	c.setReadDeadline(0)
+	x.beRead()
+	c.progress.enter(handling)
 	req.Departure = s.departure.Load()
 	started := time.Now()
 	response := s.handler.Handle(c.ctx, req)
@@ -206,13 +234,16 @@
 	if !x.write(response) {
 		return false
 	}
-	if x.closesConnection() {
+	if x.endsConnection() {
 		c.linger()
 		return false
 	}
 	return true
 }
 
+// beRead records that the request has been read.
+func (x *transaction) beRead() { x.read, x.connection.lastRequest = true, x.id }
+
 // closesConnection reports whether the connection is closed after this
 // response. It is closed if a streamed body was not read to its end, because
 // the unread bytes would precede the next request.
@@ -220,6 +251,16 @@
 	return x.request.Close || !x.request.ProtoAtLeast(1, 1) || x.connection.server.draining.Load() || x.body != nil && !x.body.atEOF
 }
 
+// endsConnection reports whether the connection is closed now that the response has been
+// written. A stop that began meanwhile closes it without an announcement.
+func (x *transaction) endsConnection() bool {
+	if !x.closesConnection() {
+		return false
+	}
+	x.connection.progress.finish(unannounced)
+	return true
+}
+
 var errBodyTooLarge = errors.New("body of the request is too large")
 
 // readBody buffers the whole body if it is small and memory is available, and
@@ -236,6 +277,7 @@
 	if size == 0 || r.Body == http.NoBody {
 		return release, nil
 	}
+	c.progress.enter(receivingBody)
 	if httpguts.HeaderValuesContainsToken(r.Header["Expect"], "100-continue") {
 		if _, err := io.WriteString(c.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return release, err
@@ -315,6 +357,7 @@
 	x.connection.server.cfg.Log.Info().Str("Request", string(x.id)).Int("Status", status).Str("Reason", string(reason)).
 		AnErr("Cause", err).Msg("request cannot be read")
 	x.request.Close = true
+	x.connection.progress.finish(refused)
 	x.write(response)
 }
 
@@ -324,6 +367,8 @@
 func (x *transaction) write(response work.Response) bool {
 	defer response.Close()
 	c := x.connection
+	c.progress.enter(writing)
+	c.output.written = 0
 	resp := &http.Response{
 		StatusCode: response.Status, ProtoMajor: 1, ProtoMinor: 1, Request: x.request,
 		Header: c.server.dialect.Encode(x.id, response), ContentLength: int64(response.Size), Close: x.closesConnection(),
@@ -339,10 +384,13 @@
 	if err == nil {
 		err = c.writer.Flush()
 	}
-	if err != nil {
-		c.server.cfg.Log.Info().Str("Request", string(x.id)).Int("Status", response.Status).Bool("CallerGone", c.callerGone()).
-			AnErr("Cause", err).Msg("answer was not written whole")
+	switch {
+	case err != nil:
+		c.progress.finish(responseFailed)
+	case resp.Close:
+		c.progress.finish(lastResponse)
 	}
+	x.recordAnswer(response, err)
 	return err == nil
 }
 
--- a/caller/connection_test.go
+++ b/caller/connection_test.go
@@ -33,24 +33,30 @@
 // takes the time given in the path and records its calls.
 func TestConnections(t *testing.T) {
 	scripttest.Run(t, ".script", func(t *testing.T) func([]string) string {
-		s := &connectionScript{started: time.Now()}
-		s.server = New(Config{
-			Limits:  settings.Limits{RequestHeader: 200, RequestBody: 100, BodyBuffer: 20, CallerConnections: 16},
-			Timing:  settings.Timing{SlowCaller: 10 * time.Second, Hold: 2 * time.Second, LeaveMargin: time.Second},
-			Memory:  memory.New(1000),
-			Log:     zerolog.Nop(),
-			Dialect: stubDialect{},
-		})
-		s.server.handler, s.server.membership, s.server.configurations = s, s, s
-		s.server.listener = &stubListener{}
-		s.open()
-		t.Cleanup(func() {
-			s.client.Close()
-			s.stops.Wait()
-			s.server.group.Wait()
-		})
-		return s.execute
+		return newConnectionScript(t, zerolog.Nop()).execute
+	})
+}
+
+func newConnectionScript(t *testing.T, log zerolog.Logger) *connectionScript {
+	s := &connectionScript{started: time.Now()}
+	s.server = New(Config{
+		Limits:  settings.Limits{RequestHeader: 200, RequestBody: 100, BodyBuffer: 20, CallerConnections: 16},
+		Timing:  settings.Timing{SlowCaller: 10 * time.Second, Hold: 2 * time.Second, LeaveMargin: time.Second},
+		Memory:  memory.New(1000),
+		Log:     log,
+		Dialect: stubDialect{},
+	})
+	s.server.handler, s.server.membership, s.server.configurations = s, s, s
+	s.server.listener = &stubListener{}
+	go s.read(s.open())
+	t.Cleanup(func() {
+		for _, client := range s.clients {
+			client.Close()
+		}
+		s.stops.Wait()
+		s.server.group.Wait()
 	})
+	return s
 }
 
 type stubListener struct{ net.Listener }
@@ -78,7 +84,9 @@
 type connectionScript struct {
 	server  *Server
 	started time.Time
+	// client is the connection that the script uses, the last one of clients.
 	client  net.Conn
+	clients []net.Conn
 
 	stops conc.WaitGroup
 
@@ -88,12 +96,13 @@
 	closed   bool
 }
 
-func (s *connectionScript) open() {
+// open opens another connection. What the server sends is not read.
+func (s *connectionScript) open() net.Conn {
 	serverConn, clientConn := net.Pipe()
-	s.client = clientConn
+	s.client, s.clients = clientConn, append(s.clients, clientConn)
 	s.server.acquireSlot()
 	s.server.serve(serverConn)
-	go s.read(clientConn)
+	return clientConn
 }
 
 // read records what the server sends.
@@ -113,6 +122,11 @@
 
 func (s *connectionScript) execute(w []string) string {
 	switch w[0] {
+	case "open":
+		client := s.open()
+		if len(w) == 1 {
+			go s.read(client)
+		}
 	case "send":
 		text := strings.ReplaceAll(strings.Join(w[1:], " "), "~", "\r\n")
 		go io.WriteString(s.client, text)
@@ -143,8 +157,8 @@
 }
 
 // Handle responds after the duration that the path gives. The response to /cut
-// is truncated, the one to /stream has no length, and the body of the one to
-// /broken fails at once.
+// is truncated, the one to /stream has no length, the body of the one to
+// /broken fails at once, and /deaf does not end when it is cancelled.
 func (s *connectionScript) Handle(ctx context.Context, req *work.Request) work.Response {
 	rest := ""
 	if req.Body.Rest != nil {
@@ -178,6 +192,8 @@
 		response.Size, response.Rest = 100, io.NopCloser(io.MultiReader(strings.NewReader("half"), failingReader{}))
 	case "/stream":
 		response.Size, response.Rest = -1, io.NopCloser(strings.NewReader(" and more"))
+	case "/deaf":
+		time.Sleep(time.Minute)
 	case "/broken":
 		response.Size, response.Rest = -1, io.NopCloser(failingReader{})
 	}
--- a/caller/disconnect.go
+++ b/caller/disconnect.go
@@ -6,6 +6,15 @@
 	"golang.org/x/sys/unix"
 )
 
+// unreadBytes returns how many bytes a socket has received that have not been read.
+func unreadBytes(fd int) int {
+	n, err := unix.IoctlGetInt(fd, unix.SIOCINQ)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // isClosedByPeer reports whether the peer of a socket has closed the connection, or its
 // sending side, or has reset it. Unlike a read, it sees that behind bytes that have not
 // been read yet.
--- a/caller/receivebuffer.go
+++ b/caller/receivebuffer.go
@@ -11,6 +11,7 @@
 
 	"github.com/briarrouter/briarrouter/memory"
 	"github.com/briarrouter/briarrouter/unit"
+	"github.com/rs/zerolog"
 )
 
 // receiveBuffer reads from a connection in the background, so that a disconnect
@@ -50,11 +51,27 @@
 	// another deadline is set. Receiving continues then: the request that the deadline was
 	// meant for may just have arrived.
 	expired error
+	// unread counts the bytes that nobody read.
+	unread unread
 	// paused is set while the buffer is full and the receiving task waits for the end
 	// of the connection instead of more bytes.
 	paused bool
 }
 
+// unread counts the bytes of a connection that nobody read.
+type unread struct {
+	// dropped were received, and discarded by the close of the connection or while the
+	// server lingered: pipelined requests, or the rest of a body.
+	dropped unit.Bytes
+	// notReceived were left in the operating system by the close of the connection,
+	// which is then reset: the caller may lose a response that it has not read yet.
+	notReceived unit.Bytes
+}
+
+func (u unread) MarshalZerologObject(e *zerolog.Event) {
+	e.Int64("DroppedBytes", int64(u.dropped)).Int64("NotReceivedBytes", int64(u.notReceived))
+}
+
 // arrival is the arrival of bytes at a time.
 type arrival struct {
 	// end is how many bytes of the connection had arrived then.
@@ -99,14 +116,43 @@
 // close closes the connection and ends the wait of all tasks that use the buffer.
 func (b *receiveBuffer) close() {
 	b.store(nil, net.ErrClosed)
+	b.countNotReceived()
 	b.conn.Close()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.clear()
 }
 
+// countNotReceived counts the bytes that the close leaves in the operating system. Two
+// tasks may close the connection, and the later one finds no bytes.
+func (b *receiveBuffer) countNotReceived() {
+	left := b.notReceived()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.unread.notReceived = max(b.unread.notReceived, left)
+}
+
+// notReceived returns how many bytes have arrived that are still with the operating
+// system; zero if the connection has been closed.
+func (b *receiveBuffer) notReceived() unit.Bytes {
+	conn, ok := b.conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	if raw.Control(func(fd uintptr) { n = unreadBytes(int(fd)) }) != nil {
+		return 0
+	}
+	return unit.Bytes(n)
+}
+
 // clear discards the received bytes. The caller holds mu.
 func (b *receiveBuffer) clear() {
+	b.unread.dropped += unit.Bytes(len(b.data))
 	b.data = nil
 	b.memory.Release(b.reserved)
 	b.reserved = 0
@@ -119,6 +165,21 @@
 	return b.expired != nil
 }
 
+// cause returns why no bytes come, or nil if more may come.
+func (b *receiveBuffer) cause() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ended()
+}
+
+// unreadCount returns the number of bytes that nobody read, once the connection has been
+// closed.
+func (b *receiveBuffer) unreadCount() unread {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.unread
+}
+
 // ended returns why no bytes come, or nil if more may come. The caller holds mu.
 func (b *receiveBuffer) ended() error {
 	if b.err == nil {
@@ -227,6 +288,9 @@
 func (b *receiveBuffer) store(data []byte, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.err != nil {
+		b.unread.dropped += unit.Bytes(len(data))
+	}
 	if b.err == nil && len(data) > 0 {
 		b.data = append(b.data, data...)
 		b.received += int64(len(data))
--- /dev/null
+++ b/caller/state.go
@@ -0,0 +1,111 @@
+package caller
+
+import (
+	"errors"
+	"os"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/rs/zerolog"
+)
+
+// state is what a connection is doing.
+type state int32
+
+const (
+	// idle means that no byte of the next request has been read.
+	idle state = iota
+	receivingHead
+	receivingBody
+	// handling means that the request is with the handler: it waits for a target, or a
+	// target or a peer is at work on it.
+	handling
+	// writing means that the response is being written; the rest of its body may still
+	// be arriving from the target.
+	writing
+	// lingering means that the last response has been written and the server waits for
+	// the caller to close its side.
+	lingering
+	stateCount
+)
+
+var stateNames = [stateCount]string{"idle", "receiving-head", "receiving-body", "handling", "writing", "lingering"}
+
+func (s state) String() string { return stateNames[s] }
+
+// states holds the number of connections in each state.
+type states [stateCount]int
+
+// inProgress returns the number of connections with a request whose header section has
+// been read and whose response has not been written.
+func (s states) inProgress() int { return s[receivingBody] + s[handling] + s[writing] }
+
+func (s states) MarshalZerologObject(e *zerolog.Event) {
+	connections := 0
+	for _, n := range s {
+		connections += n
+	}
+	e.Int("Connections", connections).Int("Idle", s[idle]).Int("ReceivingHead", s[receivingHead]).Int("ReceivingBody", s[receivingBody]).
+		Int("Handling", s[handling]).Int("Writing", s[writing]).Int("Lingering", s[lingering])
+}
+
+// ending is why a connection ended.
+type ending string
+
+const (
+	// callerClosed means that the caller closed the connection or its sending side.
+	callerClosed ending = "caller-closed"
+	// callerReset means that the caller or the network reset the connection. A reset
+	// while the receive buffer is full cannot be told from callerClosed.
+	callerReset ending = "caller-reset"
+	idleTimeout ending = "idle-timeout"
+	// closedIdle means that a stop closed the connection while it was idle.
+	closedIdle ending = "closed-idle"
+	// lastResponse means that a response announced the close.
+	lastResponse ending = "last-response"
+	// unannounced means that the server closed the connection after a response that
+	// did not announce it.
+	unannounced ending = "unannounced"
+	// refused means that a request could not be read.
+	refused ending = "refused"
+	// responseFailed means that a response could not be written whole.
+	responseFailed ending = "response-failed"
+	// closedByForce means that a stop closed the connection whatever its state.
+	closedByForce ending = "closed-by-force"
+)
+
+// endingOf returns the ending that follows from the error of a receiveBuffer.
+func endingOf(err error) ending {
+	switch {
+	case errors.Is(err, errStopped):
+		return closedIdle
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return idleTimeout
+	case errors.Is(err, syscall.ECONNRESET):
+		return callerReset
+	default:
+		return callerClosed
+	}
+}
+
+// end is the end of a connection. It is immutable.
+type end struct {
+	ending ending
+	// state is what the connection was doing at its end.
+	state state
+}
+
+// progress is the state of a connection and its end. It is safe for concurrent use.
+type progress struct {
+	state atomic.Int32
+	end   atomic.Pointer[end]
+}
+
+// enter sets the state. Only the task of the connection calls it.
+func (p *progress) enter(s state) { p.state.Store(int32(s)) }
+
+func (p *progress) current() state { return state(p.state.Load()) }
+
+// finish records why the connection ends. The first call counts: what follows is a
+// consequence of it.
+func (p *progress) finish(e ending) { p.end.CompareAndSwap(nil, &end{ending: e, state: p.current()}) }
