caller: a request that a stop cut off is a warning whatever its reason

Cause: the warning asked for the reason "leaving". A request that was relayed to a peer is cut off with "peer-failed" and kept a line at level info, which may be dropped.

Change: the line "request answered" has the field CutOff: the end of the stop had cancelled the request when its answer, not a target's, was made. With another outcome than not-run the line is a warning.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -59,9 +59,12 @@
 
 // callerGone reports whether the caller disconnected.
 func (c *connection) callerGone() bool {
-	return c.ctx.Err() != nil && !errors.Is(context.Cause(c.ctx), errCutOff)
+	return c.ctx.Err() != nil && !c.isCutOff()
 }
 
+// isCutOff reports whether the end of a stop has cancelled the requests.
+func (c *connection) isCutOff() bool { return errors.Is(context.Cause(c.ctx), errCutOff) }
+
 const (
 	// Buffers of these sizes hold a typical header section. A response that is
 	// larger than writeBufferSize is written to the connection in parts.
@@ -230,7 +233,7 @@
 	if response.Reason == work.CallerGone && !c.callerGone() {
 		response = work.Refuse(response.Outcome, response.Status, work.Leaving)
 	}
-	s.logResponse(req, response, time.Since(started), c.callerGone())
+	x.logResponse(req, response, time.Since(started))
 	if !x.write(response) {
 		return false
 	}
--- a/caller/log.go
+++ b/caller/log.go
@@ -26,14 +26,15 @@
 	event.Dur("Took", took).EmbedObject(s.states()).Msg(step)
 }
 
-// logResponse logs the result of a request. The line of a request that the stop cut off
-// is a warning, which is always written.
-func (s *Server) logResponse(req *work.Request, response work.Response, took time.Duration, callerGone bool) {
-	level := zerolog.InfoLevel
-	if response.Reason == work.Leaving && response.Outcome != outcome.NotRun {
+// logResponse logs the result of a request. If a stop has put it in the place of a
+// target's response, the line is a warning, which is always written.
+func (x *transaction) logResponse(req *work.Request, response work.Response, took time.Duration) {
+	c := x.connection
+	level, cutOff := zerolog.InfoLevel, c.isCutOff() && response.Reason != work.NoReason
+	if cutOff && response.Outcome != outcome.NotRun {
 		level = zerolog.WarnLevel
 	}
-	s.cfg.Log.WithLevel(level).
+	c.server.cfg.Log.WithLevel(level).
 		Str("Request", string(req.ID)).
 		Str("CallerHost", req.Host).
 		Str("Path", req.Path).
@@ -42,7 +43,8 @@
 		Str("Reason", string(response.Reason)).
 		Dur("RetryAfter", response.RetryAfter).
 		Dur("Took", took).
-		Bool("CallerGone", callerGone).
+		Bool("CallerGone", c.callerGone()).
+		Bool("CutOff", cutOff).
 		Msg("request answered")
 }
 
