caller: the test of the log lines exhausts the limit of the whole logger

Cause: the script's word for an exhausted limit acted on the request log only, so a server that sampled the steps of a stop passed the test.

Change: one sampler stands below both logs, as in a daemon; the wanted line of a reset is one at level warn. The words of the scripts are exhausted and open-unread.

Evidence: with the steps of a stop sampled, TestEvents/unanswered fails; without the count of what is left in the operating system, TestResetOfUnreadConnectionIsLogged fails; without the ending of closed-by-force, TestEvents/stoplines fails.

--- a/caller/connection_test.go
+++ b/caller/connection_test.go
@@ -48,7 +48,7 @@
 	})
 	s.server.handler, s.server.membership, s.server.configurations = s, s, s
 	s.server.listener = &stubListener{}
-	go s.read(s.open())
+	s.open()
 	t.Cleanup(func() {
 		for _, client := range s.clients {
 			client.Close()
@@ -96,8 +96,11 @@
 	closed   bool
 }
 
-// open opens another connection. What the server sends is not read.
-func (s *connectionScript) open() net.Conn {
+// open opens another connection and records what the server sends.
+func (s *connectionScript) open() { go s.read(s.openUnread()) }
+
+// openUnread opens another connection. What the server sends is not read.
+func (s *connectionScript) openUnread() net.Conn {
 	serverConn, clientConn := net.Pipe()
 	s.client, s.clients = clientConn, append(s.clients, clientConn)
 	s.server.acquireSlot()
@@ -123,10 +126,9 @@
 func (s *connectionScript) execute(w []string) string {
 	switch w[0] {
 	case "open":
-		client := s.open()
-		if len(w) == 1 {
-			go s.read(client)
-		}
+		s.open()
+	case "open-unread":
+		s.openUnread()
 	case "send":
 		text := strings.ReplaceAll(strings.Join(w[1:], " "), "~", "\r\n")
 		go io.WriteString(s.client, text)
--- a/caller/events_test.go
+++ b/caller/events_test.go
@@ -5,9 +5,11 @@
 	"bytes"
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,26 +43,27 @@
 	return lines
 }
 
-// never is a sampler that writes no line but warnings.
-type never struct{}
+// sampler writes all lines or, when it is exhausted, only warnings.
+type sampler struct{ exhausted atomic.Bool }
 
-func (never) Sample(level zerolog.Level) bool { return level >= zerolog.WarnLevel }
+func (s *sampler) Sample(level zerolog.Level) bool {
+	return level >= zerolog.WarnLevel || !s.exhausted.Load()
+}
 
 // TestEvents runs scripts in the manner of TestConnections and shows the lines of the log.
-// The word open opens another connection, "open unread" one whose caller does not
-// read; metrics shows the counters; the word quiet lets only warnings through the limit on
-// the lines about requests.
+// The word open opens another connection, open-unread one whose caller does not
+// read; metrics shows the counters; exhausted exhausts the limit on lines about requests.
 func TestEvents(t *testing.T) {
 	scripttest.Run(t, ".events", func(t *testing.T) func([]string) string {
-		log, scope := &logLines{}, tally.NewTestScope("", nil)
-		s := newConnectionScript(t, zerolog.New(log))
+		log, limit, scope := &logLines{}, &sampler{}, tally.NewTestScope("", nil)
+		s := newConnectionScript(t, zerolog.New(log).Sample(limit))
 		s.server.scope = scope
 		return func(words []string) string {
 			switch words[0] {
 			case "metrics":
 				return showCounters(scope.Snapshot())
-			case "quiet":
-				s.server.cfg.Log = s.server.cfg.Log.Sample(never{})
+			case "exhausted":
+				limit.exhausted.Store(true)
 			default:
 				s.execute(words)
 			}
@@ -85,9 +88,9 @@
 	proceed := make(chan struct{})
 	l := newLoopbackServer(t, slowCaller, func(_ context.Context, _ *work.Request) work.Response {
 		<-proceed
-		return work.Refuse(outcome.NotRun, 503, work.Overloaded)
+		return work.Refuse(outcome.NotRun, http.StatusServiceUnavailable, work.Overloaded)
 	})
-	l.server.log, l.server.cfg.Log = zerolog.New(log), zerolog.New(log).Sample(never{})
+	l.server.log, l.server.cfg.Log = zerolog.New(log), zerolog.New(log)
 	conn := l.dial(t)
 	defer conn.Close()
 	require.NoError(t, sendUpload(conn, receiveBufferSize+2*receiveChunkSize))
@@ -100,7 +103,7 @@
 	_, err := bufio.NewReader(conn).ReadByte()
 	require.Error(t, err)
 	lines := strings.Join(log.take(), "")
-	require.Contains(t, lines, `"LastRequest":"/upload","State":"handling","Ending":"closed-by-force"`)
+	require.Contains(t, lines, `{"level":"warn","LastRequest":"/upload","State":"handling","Ending":"closed-by-force"`)
 	require.Contains(t, lines, `"ClosedByForce":1`)
 	require.Contains(t, lines, `"Resets":1`)
 }
