caller: the type of a connection's ending has its own name

Change: connectionEnding. No behaviour changed; the log keeps the field Ending.

Evidence: go test -race -count=1 ./caller green.

--- a/caller/state.go
+++ b/caller/state.go
@@ -49,33 +49,33 @@
 		Int("Handling", s[handling]).Int("Writing", s[writing]).Int("Lingering", s[lingering])
 }
 
-// ending is why a connection ended.
-type ending string
+// connectionEnding is why a connection ended.
+type connectionEnding string
 
 const (
 	// callerClosed means that the caller closed the connection or its sending side.
-	callerClosed ending = "caller-closed"
+	callerClosed connectionEnding = "caller-closed"
 	// callerReset means that the caller or the network reset the connection. A reset
 	// while the receive buffer is full cannot be told from callerClosed.
-	callerReset ending = "caller-reset"
-	idleTimeout ending = "idle-timeout"
+	callerReset connectionEnding = "caller-reset"
+	idleTimeout connectionEnding = "idle-timeout"
 	// closedIdle means that a stop closed the connection while it was idle.
-	closedIdle ending = "closed-idle"
+	closedIdle connectionEnding = "closed-idle"
 	// lastResponse means that a response announced the close.
-	lastResponse ending = "last-response"
+	lastResponse connectionEnding = "last-response"
 	// unannounced means that the server closed the connection after a response that
 	// did not announce it.
-	unannounced ending = "unannounced"
+	unannounced connectionEnding = "unannounced"
 	// refused means that a request could not be read.
-	refused ending = "refused"
+	refused connectionEnding = "refused"
 	// responseFailed means that a response could not be written whole.
-	responseFailed ending = "response-failed"
+	responseFailed connectionEnding = "response-failed"
 	// closedByForce means that a stop closed the connection whatever its state.
-	closedByForce ending = "closed-by-force"
+	closedByForce connectionEnding = "closed-by-force"
 )
 
 // endingOf returns the ending that follows from the error of a receiveBuffer.
-func endingOf(err error) ending {
+func endingOf(err error) connectionEnding {
 	switch {
 	case errors.Is(err, errStopped):
 		return closedIdle
@@ -90,7 +90,7 @@
 
 // end is the end of a connection. It is immutable.
 type end struct {
-	ending ending
+	ending connectionEnding
 	// state is what the connection was doing at its end.
 	state state
 }
@@ -108,4 +108,6 @@
 
 // finish records why the connection ends. The first call counts: what follows is a
 // consequence of it.
-func (p *progress) finish(e ending) { p.end.CompareAndSwap(nil, &end{ending: e, state: p.current()}) }
+func (p *progress) finish(e connectionEnding) {
+	p.end.CompareAndSwap(nil, &end{ending: e, state: p.current()})
+}
--- a/caller/stoprecord.go
+++ b/caller/stoprecord.go
@@ -33,7 +33,7 @@
 	// unanswered counts the requests that ended without a complete answer, cutOff
 	// those that were in progress when the requests were cancelled.
 	unanswered, cutOff int
-	endings            map[ending]int
+	endings            map[connectionEnding]int
 	// unread is the sum of the unread bytes of the connections, and resets counts the
 	// connections that had some left in the operating system.
 	unread unread
@@ -43,7 +43,7 @@
 func (r *stopRecord) begin() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.begun, r.answers, r.endings = time.Now(), make(map[answer]int), make(map[ending]int)
+	r.begun, r.answers, r.endings = time.Now(), make(map[answer]int), make(map[connectionEnding]int)
 }
 
 // took returns how long ago the stop began, and false if none has begun.
@@ -75,7 +75,7 @@
 	r.cutOff += n
 }
 
-func (r *stopRecord) addEnd(e ending, u unread) {
+func (r *stopRecord) addEnd(e connectionEnding, u unread) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.begun.IsZero() {
