caller: tell requests that were passed on from those that wait

Cause: a request that waits for a slot and one that a target has in hand were one state, so that the counts at the cut and the line of a request without an answer did not tell whether a target may have run it. Change: the attempt on a target and the relay to a peer note that they send the request; the connection's state is then passed-on. No test guards the notes in dispatch and peer.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -226,8 +226,7 @@
 	}
 	c.setReadDeadline(0)
 	x.beRead()
-	c.progress.enter(handling)
-	req.Departure = s.departure.Load()
+	req.Departure, req.Progress = s.departure.Load(), c.progress.handle()
 	started := time.Now()
 	response := s.handler.Handle(c.ctx, req)
 	if response.Reason == work.CallerGone && !c.callerGone() {
--- a/caller/connection_test.go
+++ b/caller/connection_test.go
@@ -158,9 +158,9 @@
 	return result
 }
 
-// Handle responds after the duration that the path gives. The response to /cut
-// is truncated, the one to /stream has no length, the body of the one to
-// /broken fails at once, and /deaf does not end when it is cancelled.
+// Handle responds after the duration that the path gives, as if a target had taken
+// it. The response to /cut is truncated, the one to /stream has no length, the body of
+// the one to /broken fails at once, and /deaf does not end when it is cancelled.
 func (s *connectionScript) Handle(ctx context.Context, req *work.Request) work.Response {
 	rest := ""
 	if req.Body.Rest != nil {
@@ -172,6 +172,7 @@
 	}
 	s.recordCall(fmt.Sprintf("%s started %d%s", req.Path, len(req.Body.Buffered), rest))
 	if d, err := time.ParseDuration(strings.TrimPrefix(req.Path, "/")); err == nil {
+		req.Progress.PassOn()
 		timer := time.NewTimer(d)
 		defer timer.Stop()
 		select {
--- a/caller/log.go
+++ b/caller/log.go
@@ -77,8 +77,8 @@
 }
 
 // recordEnd counts the end of a connection that has been closed, and logs it during a
-// stop. Only the connection's task calls it. A close that
-// resets the connection during a stop is a warning, which is always written.
+// stop. Only the connection's task calls it. A close that resets the connection during a
+// stop is a warning, which is always written.
 func (s *Server) recordEnd(c *connection) {
 	c.progress.finish(endingOf(c.input.cause()))
 	end, unread := c.progress.end.Load(), c.input.unreadCount()
--- a/caller/state.go
+++ b/caller/state.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"syscall"
 
+	"github.com/briarrouter/briarrouter/work"
 	"github.com/rs/zerolog"
 )
 
@@ -17,9 +18,11 @@
 	idle state = iota
 	receivingHead
 	receivingBody
-	// handling means that the request is with the handler: it waits for a target, or a
-	// target or a peer is at work on it.
+	// handling means that the request is with the handler and has not been passed on.
 	handling
+	// passedOn means that the request has been sent to a target or a peer, or that a
+	// connection for it is being opened.
+	passedOn
 	// writing means that the response is being written; the rest of its body may still
 	// be arriving from the target.
 	writing
@@ -29,7 +32,7 @@
 	stateCount
 )
 
-var stateNames = [stateCount]string{"idle", "receiving-head", "receiving-body", "handling", "writing", "lingering"}
+var stateNames = [stateCount]string{"idle", "receiving-head", "receiving-body", "handling", "passed-on", "writing", "lingering"}
 
 func (s state) String() string { return stateNames[s] }
 
@@ -38,7 +41,7 @@
 
 // inProgress returns the number of connections with a request whose header section has
 // been read and whose response has not been written.
-func (s states) inProgress() int { return s[receivingBody] + s[handling] + s[writing] }
+func (s states) inProgress() int { return s[receivingBody] + s[handling] + s[passedOn] + s[writing] }
 
 func (s states) MarshalZerologObject(e *zerolog.Event) {
 	connections := 0
@@ -46,7 +49,7 @@
 		connections += n
 	}
 	e.Int("Connections", connections).Int("Idle", s[idle]).Int("ReceivingHead", s[receivingHead]).Int("ReceivingBody", s[receivingBody]).
-		Int("Handling", s[handling]).Int("Writing", s[writing]).Int("Lingering", s[lingering])
+		Int("Handling", s[handling]).Int("PassedOn", s[passedOn]).Int("Writing", s[writing]).Int("Lingering", s[lingering])
 }
 
 // connectionEnding is why a connection ended.
@@ -98,13 +101,30 @@
 // progress is the state of a connection and its end. It is safe for concurrent use.
 type progress struct {
 	state atomic.Int32
-	end   atomic.Pointer[end]
+	// request is the progress of the last request that was handled.
+	request atomic.Pointer[work.Progress]
+	end     atomic.Pointer[end]
 }
 
 // enter sets the state. Only the task of the connection calls it.
 func (p *progress) enter(s state) { p.state.Store(int32(s)) }
 
-func (p *progress) current() state { return state(p.state.Load()) }
+// handle sets the state for a request that is handled from now on, and returns its
+// progress. Only the task of the connection calls it.
+func (p *progress) handle() *work.Progress {
+	request := &work.Progress{}
+	p.request.Store(request)
+	p.enter(handling)
+	return request
+}
+
+func (p *progress) current() state {
+	s := state(p.state.Load())
+	if s == handling && p.request.Load().PassedOn() {
+		return passedOn
+	}
+	return s
+}
 
 // finish records why the connection ends. The first call counts: what follows is a
 // consequence of it.
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -55,6 +55,7 @@
 		a.releaseSlot(outcome.NotWritten)
 		return exchange.Reply{Ending: outcome.NotWritten, Err: context.DeadlineExceeded}
 	}
+	req.Progress.PassOn()
 	reply := pool.Do(a.execution.ctx, a.newCall(req, a.execution.route, contract, a.number))
 	a.service.detectDroppedIdle(&reply)
 	a.evaluate(&reply, contract)
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -61,6 +61,7 @@
 	r := &relay{cancel: cancel}
 	stallTimer := time.AfterFunc(relayStallLimit, l.requestProbe)
 	l.trackRelay(r, req)
+	req.Progress.PassOn()
 	reply := l.relayPool.Do(ctx, exchange.Call{
 		Method:     req.Method,
 		URI:        relayPath + req.URI,
--- a/work/work.go
+++ b/work/work.go
@@ -47,6 +47,8 @@
 	Departure *departure.Plan
 	// Hops is the number of times the request was forwarded to a peer.
 	Hops int
+	// Progress is nil if nobody asks for it.
+	Progress *Progress
 }
 
 // Body is the body of a request: a buffered start, and the rest as a stream.
