A start that fails half way is stopped within the bound of a stop

Cause: Kernel.Start stopped the services already started with the context that it had started them with, which has no end. A request in progress there, such as an operator's profile of ten minutes, kept the process, and so the supervisor that restarts it.

--- a/command/serve.go
+++ b/command/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -86,20 +87,24 @@
 }
 
 // run starts the services, applies changed settings until SIGINT or SIGTERM, and
-// stops the services. The stop takes at most the bound that stopBound gives, or, if that
-// is zero, as long as the requests in progress take.
+// stops the services. If one fails to start, it stops those already started.
 func run(k *kernel.Kernel, r *reloader) error {
 	daemon, log := r.current, r.log
 	log.Info().Str("FailureDomain", string(daemon.FailureDomain)).Int("Seeds", len(daemon.Seeds)).Msg("starting")
 	if err := k.Start(context.Background()); err != nil {
-		return err
+		return errors.Join(err, stopServices(k, log, r.stopBound))
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	r.run(ctx)
-	bound := r.stopBound
+	return stopServices(k, log, r.stopBound)
+}
+
+// stopServices stops the services that have started. It takes at most the bound that
+// stopBound gives, or, if that is zero, as long as the requests in progress take.
+func stopServices(k *kernel.Kernel, log zerolog.Logger, bound time.Duration) error {
 	log.Info().Dur("Bound", bound).Msg("stopping")
-	ctx = context.Background()
+	ctx := context.Background()
 	if bound > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, bound)
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -73,12 +73,12 @@
 	return t, nil
 }
 
-// Start starts the services in the order of registration. If one fails to start, it
-// stops those already started, but not the one that failed.
+// Start starts the services in the order of registration. If one fails to start, the
+// remaining ones are not started; those already started run until Stop.
 func (k *Kernel) Start(ctx context.Context) error {
 	for _, name := range k.names() {
 		if err := k.services[name].Start(ctx, k); err != nil {
-			return errors.Join(fmt.Errorf("start %s: %w", name, err), k.Stop(ctx))
+			return fmt.Errorf("start %s: %w", name, err)
 		}
 		k.setStartedCount(k.startedCount() + 1)
 	}
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -30,8 +30,8 @@
 
 func (r *recorder) State() any { return "state of " + string(r.name) }
 
-// TestOrder checks the order of starts and stops, and that services already
-// started are stopped when a later one fails to start.
+// TestOrder checks the order of starts and stops, and that Stop stops the services
+// already started when a later one has failed to start.
 func TestOrder(t *testing.T) {
 	var out strings.Builder
 	for _, startErr := range []error{nil, errors.New("no address")} {
