A SIGTERM during the start of the services stops the daemon

Cause: command.run asked for SIGTERM and SIGINT when all services had started. The caller server, which starts last, takes requests by then; a signal between its start and that moment ended the process at once. That callers then saw the end of the connection in place of an answer is by reading the code; no run with callers showed it.

Change: run asks for the signals before it starts the first service. A signal during the start ends the start, and the services already started are stopped as at any other time. A daemon whose caller server has not started leaves first, so that it does not become ready until its peer service has stopped. Before run, the signal still ends the process at once: nothing can have been accepted by then.

Before, TestSIGTERMDuringStartStopsLastService:

signal: terminated FAIL github.com/briarrouter/briarrouter/command

After: it and TestSIGTERMDuringStartKeepsDaemonFromBecomingReady pass, with -race.

--- a/command/run_test.go
+++ b/command/run_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/briarrouter/briarrouter/departure"
 	"github.com/briarrouter/briarrouter/kernel"
+	"github.com/briarrouter/briarrouter/peer"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 )
@@ -42,3 +45,44 @@
 	require.ErrorContains(t, run(k, &reloader{log: zerolog.Nop(), kernel: k, stopBound: bound}), "start second: no address")
 	require.WithinDuration(t, time.Now().Add(bound), deadline, bound/2, "the stop has no bound")
 }
+
+// stopDuringStart sends this process a SIGTERM and waits until the start is told to end.
+func stopDuringStart(ctx context.Context) error {
+	if err := syscall.Kill(syscall.Getpid(), syscall.SIGTERM); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func TestSIGTERMDuringStartStopsLastService(t *testing.T) {
+	stopped := false
+	k := kernel.New()
+	k.Register("last", stubService{start: stopDuringStart, stop: func(context.Context) error {
+		stopped = true
+		return nil
+	}})
+	require.NoError(t, run(k, &reloader{log: zerolog.Nop(), kernel: k}))
+	require.True(t, stopped)
+}
+
+// leavingService is a stub of the peer service.
+type leavingService struct {
+	stubService
+	left *bool
+}
+
+func (l leavingService) Leave(*departure.Plan) { *l.left = true }
+
+func TestSIGTERMDuringStartKeepsDaemonFromBecomingReady(t *testing.T) {
+	left, startedLater := false, false
+	k := kernel.New()
+	k.Register(peer.ServiceName, leavingService{stubService{start: stopDuringStart}, &left})
+	k.Register("later", stubService{start: func(context.Context) error {
+		startedLater = true
+		return nil
+	}})
+	require.NoError(t, run(k, &reloader{log: zerolog.Nop(), kernel: k}))
+	require.True(t, left)
+	require.False(t, startedLater)
+}
--- a/command/serve.go
+++ b/command/serve.go
@@ -12,6 +12,7 @@
 
 	"github.com/briarrouter/briarrouter/caller"
 	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/departure"
 	"github.com/briarrouter/briarrouter/dispatch"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/idempotency"
@@ -87,17 +88,32 @@
 }
 
 // run starts the services, applies changed settings until SIGINT or SIGTERM, and
-// stops the services. If one fails to start, it stops those already started.
+// stops the services. A signal during the start ends the start. If a service fails to
+// start, run stops those already started.
 func run(k *kernel.Kernel, r *reloader) error {
 	daemon, log := r.current, r.log
 	log.Info().Str("FailureDomain", string(daemon.FailureDomain)).Int("Seeds", len(daemon.Seeds)).Msg("starting")
-	if err := k.Start(context.Background()); err != nil {
-		return errors.Join(err, stopServices(k, log, r.stopBound))
-	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	r.run(ctx)
-	return stopServices(k, log, r.stopBound)
+	err := k.Start(ctx)
+	switch {
+	case errors.Is(err, context.Canceled):
+		err = leave(k)
+	case err == nil:
+		r.run(ctx)
+	}
+	return errors.Join(err, stopServices(k, log, r.stopBound))
+}
+
+// leave keeps a daemon that is stopped during its start from becoming ready until its
+// peer service has stopped.
+func leave(k *kernel.Kernel) error {
+	member, err := kernel.Find[interface{ Leave(plan *departure.Plan) }](k, peer.ServiceName)
+	if err != nil {
+		return err
+	}
+	member.Leave(nil)
+	return nil
 }
 
 // stopServices stops the services that have started. It takes at most the bound that
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -73,10 +73,14 @@
 	return t, nil
 }
 
-// Start starts the services in the order of registration. If one fails to start, the
-// remaining ones are not started; those already started run until Stop.
+// Start starts the services in the order of registration. If one fails to start, or if
+// the context ends, the remaining ones are not started; those already started run until
+// Stop.
 func (k *Kernel) Start(ctx context.Context) error {
 	for _, name := range k.names() {
+		if err := ctx.Err(); err != nil {
+			return fmt.Errorf("start %s: %w", name, err)
+		}
 		if err := k.services[name].Start(ctx, k); err != nil {
 			return fmt.Errorf("start %s: %w", name, err)
 		}
