A SIGHUP during the start does not end the process

Cause: Execute asked for SIGHUP after it had read the settings and built the services. Until then the signal's default action applied, which ends the process.

Change: Execute asks for the signal first. The reloader finds it when the services have started.

Before, TestSIGHUPDuringStartDoesNotKill (the settings file is a pipe, so that the signal comes while it is read): the daemon never became ready within 20 s,

signal_test.go:61: Condition never satisfied

After: it passes.

--- a/command/serve.go
+++ b/command/serve.go
@@ -39,6 +39,9 @@
 
 // Execute runs the daemon until SIGINT or SIGTERM.
 func (s *serveCommand) Execute([]string) error {
+	// A SIGHUP during the start is handled after it.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	data, err := os.ReadFile(s.Settings)
 	if err != nil {
 		return invalidInputError(fmt.Errorf("settings: %w", err))
@@ -59,8 +62,6 @@
 	if err != nil {
 		return invalidInputError(err)
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	return run(k, &reloader{path: s.Settings, log: log, kernel: k, signals: reload, current: daemon, data: data, stopBound: b.stopBound})
 }
 
--- /dev/null
+++ b/e2e/signal_test.go
@@ -0,0 +1,62 @@
+package e2e
+
+import (
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// replaceSettings makes the settings file of a daemon a pipe, so that reading it blocks,
+// and returns its text.
+func (f *fleet) replaceSettings(d *daemon) []byte {
+	data, err := os.ReadFile(d.settings)
+	require.NoError(f.t, err)
+	require.NoError(f.t, os.Remove(d.settings))
+	require.NoError(f.t, syscall.Mkfifo(d.settings, 0o600))
+	return data
+}
+
+// awaitReader waits until a daemon reads its settings from a pipe, and returns the pipe's
+// write side.
+func (f *fleet) awaitReader(d *daemon) *os.File {
+	var pipe *os.File
+	f.wait(func() bool {
+		var err error
+		// Without a reader, opening fails.
+		pipe, err = os.OpenFile(d.settings, os.O_WRONLY|syscall.O_NONBLOCK, 0)
+		return err == nil
+	})
+	f.t.Cleanup(func() { pipe.Close() })
+	return pipe
+}
+
+// exit waits for the end of a daemon and returns its error.
+func (f *fleet) exit(d *daemon) error {
+	ended := make(chan error, 1)
+	go func() { ended <- d.process.Wait() }()
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(waitTimeout):
+		require.FailNow(f.t, "the daemon still runs")
+		return nil
+	}
+}
+
+func TestSIGHUPDuringStartDoesNotKill(t *testing.T) {
+	f := startFleet(t)
+	d := f.daemons[0]
+	f.signal(d, stop)
+	require.NoError(t, f.exit(d))
+	data := f.replaceSettings(d)
+	f.startDaemon(d)
+	pipe := f.awaitReader(d)
+	f.signal(d, syscall.SIGHUP)
+	_, err := pipe.Write(data)
+	require.NoError(t, err)
+	require.NoError(t, pipe.Close())
+	f.waitReady(d)
+}
