A SIGTERM stops a daemon that is reading its settings file

Cause: run served reloads and signals in one task, so a stop began only when the reload in progress had ended. While a read of the settings file blocks, such as on a network mount that does not answer, the daemon did not leave, and the platform would have killed it with what it had accepted.

Change: the reloader runs in a task of its own, and run begins the stop without it. Only applying settings that have been read, which does no I/O, is awaited; none are applied once the stop has begun, so that no service is called after its Stop.

Before, TestSIGTERMDuringReloadStopsDaemon (the settings file is a pipe without a writer's data; 20 s after the SIGTERM):

signal_test.go:71: the daemon still runs

After: it passes; the daemon exits with status 0. ./command passes with -race.

--- a/command/reload.go
+++ b/command/reload.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/briarrouter/briarrouter/caller"
@@ -29,6 +30,8 @@
 	kernel *kernel.Kernel
 	// signals triggers an immediate check of the file.
 	signals <-chan os.Signal
+
+	mu sync.Mutex
 	// current holds the settings accepted last, some of which apply only from the
 	// next start. data is the text of the file at the last check, which may have been
 	// refused.
@@ -36,6 +39,17 @@
 	data    []byte
 	// stopBound is how long a stop may take by the settings accepted last.
 	stopBound time.Duration
+	// ended is set when the stop begins. No settings are applied from then on.
+	ended bool
+}
+
+// end ends the application of settings and returns how long the stop may take. It does
+// not wait for a read of the file.
+func (r *reloader) end() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+	return r.stopBound
 }
 
 // run checks the file at each signal and every settingsPollInterval until the
@@ -63,7 +77,9 @@
 		r.log.Error().Err(err).Msg("settings cannot be read; those in force stay")
 		return
 	}
-	if bytes.Equal(data, r.data) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ended || bytes.Equal(data, r.data) {
 		return
 	}
 	r.data = data
@@ -81,7 +97,7 @@
 }
 
 // apply passes the settings to the services that can apply them while they run.
-// If it returns an error, no service has changed.
+// If it returns an error, no service has changed. The caller holds mu.
 func (r *reloader) apply(next settings.Daemon) error {
 	terms, err := platform.ParseTerms(next.Store.Terms)
 	if err != nil {
--- a/command/serve.go
+++ b/command/serve.go
@@ -101,9 +101,10 @@
 	case errors.Is(err, context.Canceled):
 		err = leave(k)
 	case err == nil:
-		r.run(ctx)
+		go r.run(ctx)
+		<-ctx.Done()
 	}
-	return errors.Join(err, stopServices(k, log, r.stopBound))
+	return errors.Join(err, stopServices(k, log, r.end()))
 }
 
 // leave keeps a daemon that is stopped during its start from becoming ready until its
--- a/e2e/signal_test.go
+++ b/e2e/signal_test.go
@@ -60,3 +60,13 @@
 	require.NoError(t, pipe.Close())
 	f.waitReady(d)
 }
+
+func TestSIGTERMDuringReloadStopsDaemon(t *testing.T) {
+	f := startFleet(t)
+	d := f.daemons[0]
+	f.replaceSettings(d)
+	f.signal(d, syscall.SIGHUP)
+	f.awaitReader(d)
+	f.signal(d, stop)
+	require.NoError(t, f.exit(d))
+}
