The bound of a stop counts from the arrival of its signal

Cause: the deadline of a stop was computed when run got around to it, while the platform counts its grace from the signal. What kept run busy in between (the start, settings that were being applied) came out of the margin before the SIGKILL, at which requests in progress end without an answer (by reading the code; no kill was seen).

The line "stopping" says how long ago that was (Since). Signals are no longer given back at the end of run: a further SIGTERM while the last log lines are written does not end the process by its default action.

Before, TestStopIsBoundedFromSIGTERM (bound of a minute):

"1m0.000012964s" is not less than or equal to "1m0s" Messages: the bound counts from after the signal

After: it passes; ./command passes with -race.

--- a/command/run_test.go
+++ b/command/run_test.go
@@ -86,3 +86,23 @@
 	require.True(t, left)
 	require.False(t, startedLater)
 }
+
+func TestStopIsBoundedFromSIGTERM(t *testing.T) {
+	const bound = time.Minute
+	var received, deadline time.Time
+	k := kernel.New()
+	k.Register("last", stubService{
+		start: func(ctx context.Context) error {
+			err := stopDuringStart(ctx)
+			received = time.Now()
+			return err
+		},
+		stop: func(ctx context.Context) error {
+			deadline, _ = ctx.Deadline()
+			return nil
+		},
+	})
+	require.NoError(t, run(k, &reloader{log: zerolog.Nop(), kernel: k, stopBound: bound}))
+	require.False(t, deadline.IsZero())
+	require.LessOrEqual(t, deadline.Sub(received), bound, "the bound counts from after the signal")
+}
--- a/command/serve.go
+++ b/command/serve.go
@@ -88,23 +88,55 @@
 	return bound, nil
 }
 
+// stopRequest is the first SIGINT or SIGTERM to the process. Later ones change nothing.
+type stopRequest struct {
+	signals chan os.Signal
+	// ctx ends when the signal has arrived.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// at is when the signal arrived. It is set before ctx ends.
+	at time.Time
+}
+
+// newStopRequest replaces the default action of the signals, which is to end the process.
+func newStopRequest() *stopRequest {
+	s := &stopRequest{signals: make(chan os.Signal, 1)}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	signal.Notify(s.signals, os.Interrupt, syscall.SIGTERM)
+	go s.run()
+	return s
+}
+
+func (s *stopRequest) run() {
+	<-s.signals
+	s.at = time.Now()
+	s.cancel()
+}
+
+// begin returns when the stop began: when the signal arrived or, if none has, now.
+func (s *stopRequest) begin() time.Time {
+	if s.ctx.Err() == nil {
+		return time.Now()
+	}
+	return s.at
+}
+
 // run starts the services, applies changed settings until SIGINT or SIGTERM, and
 // stops the services. A signal during the start ends the start. If a service fails to
 // start, run stops those already started.
 func run(k *kernel.Kernel, r *reloader) error {
 	daemon, log := r.current, r.log
 	log.Info().Str("FailureDomain", string(daemon.FailureDomain)).Int("Seeds", len(daemon.Seeds)).Msg("starting")
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	err := k.Start(ctx)
+	stop := newStopRequest()
+	err := k.Start(stop.ctx)
 	switch {
 	case errors.Is(err, context.Canceled):
 		err = leave(k)
 	case err == nil:
-		go r.run(ctx)
-		<-ctx.Done()
+		go r.run(stop.ctx)
+		<-stop.ctx.Done()
 	}
-	return errors.Join(err, stopServices(k, log, r.end()))
+	return errors.Join(err, stopServices(k, log, stop.begin(), r.end()))
 }
 
 // leave keeps a daemon that is stopped during its start from becoming ready until its
@@ -118,14 +150,15 @@
 	return nil
 }
 
-// stopServices stops the services that have started. It takes at most the bound that
-// stopBound gives, or, if that is zero, as long as the requests in progress take.
-func stopServices(k *kernel.Kernel, log zerolog.Logger, bound time.Duration) error {
-	log.Info().Dur("Bound", bound).Msg("stopping")
+// stopServices stops the services that have started. It ends at most the bound that
+// stopBound gives after the stop began, or, if that is zero, when the requests in progress
+// have ended.
+func stopServices(k *kernel.Kernel, log zerolog.Logger, begin time.Time, bound time.Duration) error {
+	log.Info().Dur("Bound", bound).Dur("Since", time.Since(begin)).Msg("stopping")
 	ctx := context.Background()
 	if bound > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, bound)
+		ctx, cancel = context.WithDeadline(ctx, begin.Add(bound))
 		defer cancel()
 	}
 	err := k.Stop(ctx)
