--- a/e2e/signal_test.go
+++ b/e2e/signal_test.go
@@ -1,7 +1,10 @@
 package e2e
 
 import (
+	"fmt"
+	"io"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -70,3 +73,41 @@
 	f.signal(d, stop)
 	require.NoError(t, f.exit(d))
 }
+
+// limitStop sets the time that a stop of a daemon may take, and restarts the daemon.
+func (f *fleet) limitStop(d *daemon, bound time.Duration) {
+	data, err := os.ReadFile(d.settings)
+	require.NoError(f.t, err)
+	require.NoError(f.t, os.WriteFile(d.settings, fmt.Appendf(data, "Stop = %s\n", bound), 0o600))
+	f.signal(d, stop)
+	require.NoError(f.t, f.exit(d))
+	f.startDaemon(d)
+	f.waitReady(d)
+}
+
+// seesDead reports whether a daemon takes another one for dead.
+func (f *fleet) seesDead(d *daemon) bool {
+	return strings.Contains(f.get(d.operator, "/dump"), `"State": "Dead"`)
+}
+
+func TestSIGTERMDuringPauseIsBoundedFromSignal(t *testing.T) {
+	const bound = 4 * time.Second
+	f := startFleet(t)
+	d, other := f.daemons[0], f.daemons[1]
+	f.limitStop(d, bound)
+	f.wait(func() bool { return !f.seesDead(other) })
+	body, pipe := io.Pipe()
+	defer pipe.Close()
+	upload := f.sendAsync(d, request{method: "PUT", workID: "w-1", body: body})
+	fmt.Fprint(pipe, strings.Repeat("x", 100_000))
+	f.signal(d, pause)
+	f.signal(d, stop)
+	begin := time.Now()
+	f.wait(func() bool { return f.seesDead(other) })
+	paused := time.Since(begin)
+	f.signal(d, resume)
+	f.exit(d)
+	require.Less(t, time.Since(begin), max(paused, bound)+bound/2)
+	pipe.Close()
+	<-upload.result
+}
