A reader of the log that has stopped does not keep the process

Cause: Execute ended with the close of the log writer, which waits until the reader of standard output has taken every buffered line. If it takes none (a full pipe of a stopped log collector), the process outlived the grace of its stop and was killed.

Change: the process waits 200 ms for the last lines. No request depends on them: all services have stopped by then.

Before, TestBlockedLogDoesNotDelayExit (standard output is a full pipe; 20 s after the SIGTERM):

signal_test.go:138: the daemon still runs

After: it passes; the daemon exits with status 0.

--- a/command/serve.go
+++ b/command/serve.go
@@ -55,7 +55,7 @@
 		return err
 	}
 	out := newLogWriter(s.streams.out)
-	defer out.Close()
+	defer flushLog(out)
 	log := newLogger(out).Level(level).With().Str("Host", string(daemon.Host)).Logger()
 	b := &daemonBuilder{daemon: daemon, log: log, dropped: out.dropped, now: time.Now()}
 	k, err := b.buildKernel()
@@ -65,6 +65,33 @@
 	return run(k, &reloader{path: s.Settings, log: log, kernel: k, signals: reload, current: daemon, data: data, stopBound: b.stopBound})
 }
 
+// logFlushTime is how long the process waits at its end for the reader of the log.
+const logFlushTime = 200 * time.Millisecond
+
+// logFlush is the writing of the lines that are buffered at the end of the process.
+type logFlush struct {
+	out  logWriter
+	done chan struct{}
+}
+
+// flushLog writes the buffered lines and drops those that the reader of the log has not
+// taken within logFlushTime.
+func flushLog(out logWriter) {
+	f := &logFlush{out, make(chan struct{})}
+	go f.run()
+	timer := time.NewTimer(logFlushTime)
+	defer timer.Stop()
+	select {
+	case <-f.done:
+	case <-timer.C:
+	}
+}
+
+func (f *logFlush) run() {
+	defer close(f.done)
+	f.out.Close()
+}
+
 // killMargin is how long before the platform kills a daemon its stop ends.
 const killMargin = 500 * time.Millisecond
 
--- a/e2e/signal_test.go
+++ b/e2e/signal_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"os/exec"
 	"strings"
 	"syscall"
 	"testing"
@@ -111,3 +112,28 @@
 	pipe.Close()
 	<-upload.result
 }
+
+// fullPipe returns the write side of a pipe that is full and that nobody reads.
+func (f *fleet) fullPipe() *os.File {
+	r, w, err := os.Pipe()
+	require.NoError(f.t, err)
+	f.t.Cleanup(func() { r.Close(); w.Close() })
+	require.NoError(f.t, w.SetWriteDeadline(time.Now().Add(pollInterval)))
+	_, err = w.Write(make([]byte, 1<<20))
+	require.ErrorIs(f.t, err, os.ErrDeadlineExceeded)
+	return w
+}
+
+func TestBlockedLogDoesNotDelayExit(t *testing.T) {
+	f := startFleet(t)
+	d := f.daemons[0]
+	f.signal(d, stop)
+	require.NoError(t, f.exit(d))
+	d.process = exec.Command(binary, "serve", "--settings", d.settings)
+	d.process.Stdout = f.fullPipe()
+	require.NoError(t, d.process.Start())
+	t.Cleanup(func() { d.process.Process.Kill() })
+	f.waitReady(d)
+	f.signal(d, stop)
+	require.NoError(t, f.exit(d))
+}
