Tests of signals during a stop

TestFurtherSignalsDoNotCutStop sends SIGTERM, SIGINT and SIGHUP to a daemon that is stopping with an upload in progress; the upload completes and the exit status is 0. TestReloadDuringStopChangesNothing guards against settings that are applied while the services are being stopped. No product code changed.

--- a/command/reload_test.go
+++ b/command/reload_test.go
@@ -94,3 +94,23 @@
 		goldie.New(t).Assert(t, "reload", []byte(out.String()))
 	})
 }
+
+func TestReloadDuringStopChangesNothing(t *testing.T) {
+	var out, log strings.Builder
+	path := filepath.Join(t.TempDir(), "settings.ini")
+	data, err := os.ReadFile("testdata/reload.ini")
+	require.NoError(t, err)
+	current, err := settings.Parse(path, data)
+	require.NoError(t, err)
+	k := kernel.New()
+	k.Register(configuration.ServiceName, configuration.NewStore(configuration.StoreConfig{Log: zerolog.Nop(), Format: platform.Format{}}))
+	for _, name := range []kernel.Name{caller.ServiceName, peer.ServiceName, platform.DirectoryName} {
+		k.Register(name, settingsRecorder{&out})
+	}
+	r := &reloader{path: path, log: zerolog.New(&log), kernel: k, current: current, data: data, stopBound: 5 * time.Second}
+	require.Equal(t, 5*time.Second, r.end())
+	require.NoError(t, os.WriteFile(path, []byte(strings.Replace(string(data), "Stop = 5s", "Stop = 4s", 1)), 0o600))
+	r.reloadIfChanged()
+	require.Empty(t, out.String()+log.String())
+	require.Equal(t, 5*time.Second, r.stopBound)
+}
--- a/e2e/signal_test.go
+++ b/e2e/signal_test.go
@@ -137,3 +137,23 @@
 	f.signal(d, stop)
 	require.NoError(t, f.exit(d))
 }
+
+func TestFurtherSignalsDoNotCutStop(t *testing.T) {
+	f := startFleet(t)
+	d := f.daemons[0]
+	body, pipe := io.Pipe()
+	upload := f.sendAsync(d, request{method: "PUT", workID: "w-1", body: body})
+	fmt.Fprint(pipe, strings.Repeat("x", 100_000))
+	f.signal(d, stop)
+	f.wait(func() bool { return f.get(d.operator, "/ready") == "" })
+	for _, s := range []os.Signal{stop, os.Interrupt, syscall.SIGHUP, stop} {
+		f.signal(d, s)
+	}
+	f.wait(func() bool { return f.send(d, request{method: "GET", workID: "w-2"}).err != nil })
+	f.signal(d, stop)
+	pipe.Close()
+	got := <-upload.result
+	require.NoError(t, got.err)
+	require.Equal(t, "ran", got.outcome)
+	require.NoError(t, f.exit(d))
+}
