The last log lines get 100 ms, so that the longest stop ends before the kill

Cause: after the bound of a stop, each server of package message may take 100 ms more (directory two of them, peer, operator). With 200 ms for the last log lines the sum could come to 450 ms of the 500 ms before the kill, by reading the code.

Change: 100 ms for the log. TestStopEndsBeforeKill ends a stop with an upload, a profile and connections without a request on each listener in progress.

The directory is not part of this test: its fleet reads publications, not a store.

--- a/command/serve.go
+++ b/command/serve.go
@@ -66,7 +66,7 @@
 }
 
 // logFlushTime is how long the process waits at its end for the reader of the log.
-const logFlushTime = 200 * time.Millisecond
+const logFlushTime = 100 * time.Millisecond
 
 // logFlush is the writing of the lines that are buffered at the end of the process.
 type logFlush struct {
--- a/e2e/signal_test.go
+++ b/e2e/signal_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/exec"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -157,3 +159,37 @@
 	require.Equal(t, "ran", got.outcome)
 	require.NoError(t, f.exit(d))
 }
+
+// killMargin is how long after the bound of its stop a daemon is killed.
+const killMargin = 500 * time.Millisecond
+
+// TestStopEndsBeforeKill has an upload, a profile and connections without a request in
+// progress on each listener at the end of the stop.
+func TestStopEndsBeforeKill(t *testing.T) {
+	const bound = 3 * time.Second
+	f := startFleet(t)
+	d := f.daemons[0]
+	f.limitStop(d, bound)
+	body, pipe := io.Pipe()
+	defer pipe.Close()
+	upload := f.sendAsync(d, request{method: "PUT", workID: "w-1", body: body})
+	fmt.Fprint(pipe, strings.Repeat("x", 100_000))
+	profile := make(chan string, 1)
+	go func() { profile <- f.get(d.operator, "/debug/pprof/profile?seconds=30") }()
+	settings, err := os.ReadFile(d.settings)
+	require.NoError(t, err)
+	for _, address := range regexp.MustCompile(`(?:Callers|Peers|Operator) = (\S+)`).FindAllSubmatch(settings, -1) {
+		conn, err := net.Dial("tcp", string(address[1]))
+		require.NoError(t, err)
+		defer conn.Close()
+	}
+	begin := time.Now()
+	f.signal(d, stop)
+	f.exit(d)
+	took := time.Since(begin)
+	t.Log("stop took", took)
+	require.Less(t, took, bound+killMargin)
+	pipe.Close()
+	<-upload.result
+	require.Empty(t, <-profile)
+}
