--- a/command/serve.go
+++ b/command/serve.go
@@ -123,22 +123,11 @@
 	cancel context.CancelFunc
 	// at is when the signal arrived. It is set before ctx ends.
 	at time.Time
-	// beats holds the times of the last two beats, the earlier one first.
-	beats [2]time.Time
 }
 
-const (
-	// beatInterval is the time between two beats, which show when the process was running.
-	beatInterval = 100 * time.Millisecond
-	// maxBeatGap is the longest gap between beats that is taken for a delay. A stop that
-	// begins later than this after its signal is killed before it cancels its requests.
-	maxBeatGap = 800 * time.Millisecond
-)
-
 // newStopRequest replaces the default action of the signals, which is to end the process.
 func newStopRequest() *stopRequest {
 	s := &stopRequest{signals: make(chan os.Signal, 1)}
-	s.beats = [2]time.Time{time.Now(), time.Now()}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	signal.Notify(s.signals, os.Interrupt, syscall.SIGTERM)
 	go s.run()
@@ -146,30 +135,9 @@
 }
 
 func (s *stopRequest) run() {
-	defer s.cancel()
-	ticker := time.NewTicker(beatInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			s.beats = [2]time.Time{s.beats[1], time.Now()}
-		case <-s.signals:
-			s.at = s.arrival(time.Now())
-			return
-		}
-	}
-}
-
-// arrival returns when a signal that is seen now may have been sent at the earliest. If
-// the process was paused until just now, that is when it was paused.
-func (s *stopRequest) arrival(now time.Time) time.Time {
-	switch {
-	case s.beats[1].Sub(s.beats[0]) > maxBeatGap:
-		return s.beats[0]
-	case now.Sub(s.beats[1]) > maxBeatGap:
-		return s.beats[1]
-	}
-	return now
+	<-s.signals
+	s.at = time.Now()
+	s.cancel()
 }
 
 // begin returns when the stop began: when the signal arrived or, if none has, now.
