caller: a request that crosses the close of idle connections is not dropped

Cause: at the end of the hold time a stop marked connections as ended that waited for a request, while their receiving task could just have read one: its bytes were dropped and the connection closed without an answer. A whole request that lay in the kernel was reset.

Callers saw a connection that closes without an answer, although their request had been read.

Change: only the receiving task ends an idle connection. It is woken, and ends the connection unless its read has returned bytes or the kernel holds some. The mark stays, so that a connection that gets idle later ends too.

--- a/caller/receivebuffer.go
+++ b/caller/receivebuffer.go
@@ -44,6 +44,10 @@
 	// awaitingRequest is set while the server waits for the first byte of a
 	// request.
 	awaitingRequest bool
+	// closesIdle is set when the connection is to end as soon as it waits for a request of
+	// which no byte has arrived. Only the receiving task ends it for that, so that bytes
+	// which it is just reading are not lost.
+	closesIdle bool
 	// deadline is the read deadline. The connection has it unless paused is set.
 	deadline time.Time
 	// expired is the error of a read during which the deadline has passed; nil again once
@@ -236,11 +240,16 @@
 		b.arrivals[len(b.arrivals)-1].end = b.received
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		// The other task may have set another deadline since the read failed.
-		if !b.deadline.IsZero() && !time.Now().Before(b.deadline) {
-			b.expired = err
+		switch {
+		case !b.deadline.IsZero() && !time.Now().Before(b.deadline):
+			b.expired, err = err, nil
+		case b.endsIdle() && !b.isReadable():
+			err = errStopped
+		default:
+			// The other task has set another deadline since the read failed, or bytes have
+			// arrived just before the connection would have ended.
+			err = b.conn.SetReadDeadline(b.deadline)
 		}
-		err = nil
 	}
 	b.end(err)
 }
@@ -300,6 +309,7 @@
 	defer b.mu.Unlock()
 	b.awaitingRequest = true
 	defer func() { b.awaitingRequest = false }()
+	b.interruptIdle()
 	for len(b.data) == 0 {
 		if err := b.ended(); err != nil {
 			return err
@@ -309,16 +319,42 @@
 	return nil
 }
 
-// closeIdle ends the connection if it is waiting for a request and no byte has
-// arrived. It reports whether it did.
-func (b *receiveBuffer) closeIdle() bool {
+// closeIdle ends the connection if it is waiting for a request and no byte has arrived,
+// now or later.
+func (b *receiveBuffer) closeIdle() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.awaitingRequest || len(b.data) > 0 {
+	b.closesIdle = true
+	b.interruptIdle()
+}
+
+// endsIdle reports whether the connection is to end unless bytes have arrived. The caller
+// holds mu.
+func (b *receiveBuffer) endsIdle() bool {
+	return b.closesIdle && b.awaitingRequest && len(b.data) == 0
+}
+
+// interruptIdle wakes the receiving task if the connection is to end. The caller holds mu.
+func (b *receiveBuffer) interruptIdle() {
+	if b.endsIdle() {
+		b.end(b.conn.SetReadDeadline(time.Unix(1, 0)))
+	}
+}
+
+// isReadable reports whether bytes, or the end of the connection, have arrived that were
+// not received.
+func (b *receiveBuffer) isReadable() bool {
+	conn, ok := b.conn.(syscall.Conn)
+	if !ok {
 		return false
 	}
-	b.end(errStopped)
-	return true
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	readable := false
+	err = raw.Control(func(fd uintptr) { readable = isReadable(int(fd)) })
+	return err == nil && readable
 }
 
 // discardUntilClosed discards received bytes until the connection ends or its
