caller: a connection accepted just before a stop closes idle ones does not outlast it

Cause: a connection that the listener had returned, but that was registered after the close of the idle connections, was not closed with them; if it was registered after the last close of a stop, nothing closed it, and the stop waited for its idle timeout.

Callers saw a connection that stays open to a daemon which is leaving; the platform a process that does not end in its grace.

Change: such a connection is closed unread, like those that the listener still holds.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -95,6 +95,9 @@
 	mu sync.Mutex
 	// connections is the set of open connections, guarded by mu.
 	connections map[*connection]bool
+	// closing is set when a stop closes the idle connections. A connection that was
+	// accepted just before is then closed unread. Guarded by mu.
+	closing bool
 	// connectionEnded wakes awaitConnections. Its buffer of one keeps a signal
 	// that is sent while awaitConnections is not waiting.
 	connectionEnded chan struct{}
@@ -212,10 +215,23 @@
 // serve starts the task of a new connection, for which a slot was acquired.
 func (s *Server) serve(nc net.Conn) {
 	c := newConnection(s, nc)
+	if !s.register(c) {
+		c.close()
+		s.releaseSlot()
+		return
+	}
+	s.group.Go(c.run)
+}
+
+// register adds a new connection and reports whether it may be served.
+func (s *Server) register(c *connection) bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return false
+	}
 	s.connections[c] = true
-	s.mu.Unlock()
-	s.group.Go(c.run)
+	return true
 }
 
 // remove unregisters a connection that has ended.
@@ -292,6 +308,7 @@
 func (s *Server) closeIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closing = true
 	for c := range s.connections {
 		c.input.closeIdle()
 	}
