caller: the close of a connection is not answered with a 400

Cause: the end of a stop marked a connection as closed, which ended the read of its body, before it closed the socket. The refusal "400 not-run" could be written in between.

Callers could get a 400, which is not retried, for a proper request whose body was arriving at the end of a stop.

Change: the socket is closed first.

--- a/caller/receivebuffer.go
+++ b/caller/receivebuffer.go
@@ -100,10 +100,12 @@
 	b.onDisconnect()
 }
 
-// close closes the connection and ends the wait of all tasks that use the buffer.
+// close closes the connection and ends the wait of all tasks that use the buffer. What
+// they answer to a request that was cut off by that must not reach the caller: it may have
+// been proper.
 func (b *receiveBuffer) close() {
-	b.store(nil, net.ErrClosed)
 	b.conn.Close()
+	b.store(nil, net.ErrClosed)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.clear()
