caller: a response that keeps the connection keeps it

Cause: whether a connection ends was asked before the head of a response was written and again after its last byte. A stop that began in between ended a connection whose caller had been told that it stays open, and discarded for half a second what came on it.

Callers saw the connection end without an answer to their next request, which had been read.

Change: it is decided once. The connection then ends with its next response, or when idle connections are closed.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -172,6 +172,8 @@
 	// been buffered whole or is empty.
 	body *eofReader
 	id   id.Request
+	// closes is set once a response announces that it is the last one of the connection.
+	closes bool
 }
 
 // run handles the request and reports whether the connection is kept open.
@@ -179,7 +181,7 @@
 	c, s := x.connection, x.connection.server
 	if response, ok := s.addressResponse(x.request); ok {
 		x.id = id.NewRequest()
-		return x.write(response) && !x.closesConnection()
+		return x.write(response) && !x.closes
 	}
 	req, err := s.dialect.Decode(x.request, x.arrivedAt)
 	if err != nil {
@@ -206,14 +208,14 @@
 	if !x.write(response) {
 		return false
 	}
-	if x.closesConnection() {
+	if x.closes {
 		c.linger()
 		return false
 	}
 	return true
 }
 
-// closesConnection reports whether the connection is closed after this
+// closesConnection reports whether the connection is to be closed after this
 // response. It is closed if a streamed body was not read to its end, because
 // the unread bytes would precede the next request.
 func (x *transaction) closesConnection() bool {
@@ -324,9 +326,11 @@
 func (x *transaction) write(response work.Response) bool {
 	defer response.Close()
 	c := x.connection
+	// Decided once: a caller that is not told may send its next request on the connection.
+	x.closes = x.closesConnection()
 	resp := &http.Response{
 		StatusCode: response.Status, ProtoMajor: 1, ProtoMinor: 1, Request: x.request,
-		Header: c.server.dialect.Encode(x.id, response), ContentLength: int64(response.Size), Close: x.closesConnection(),
+		Header: c.server.dialect.Encode(x.id, response), ContentLength: int64(response.Size), Close: x.closes,
 	}
 	resp.Body = io.NopCloser(io.MultiReader(strings.NewReader(string(response.Buffered)), remainder(response)))
 	if response.Size == 0 || x.request.Method == http.MethodHead {
