--- a/caller/connection.go
+++ b/caller/connection.go
@@ -200,6 +200,8 @@
 	id   id.Request
 	// read is set when the request has been read, apart from a body that is streamed.
 	read bool
+	// closes is set once a response announces that it is the last one of the connection.
+	closes bool
 }
 
 // run handles the request and reports whether the connection is kept open.
@@ -208,7 +210,7 @@
 	if response, ok := s.addressResponse(x.request); ok {
 		x.id = id.NewRequest()
 		x.beRead()
-		return x.write(response) && !x.endsConnection()
+		return x.write(response) && !x.closes
 	}
 	req, err := s.dialect.Decode(x.request, x.arrivedAt)
 	if err != nil {
@@ -236,7 +238,7 @@
 	if !x.write(response) {
 		return false
 	}
-	if x.endsConnection() {
+	if x.closes {
 		c.linger()
 		return false
 	}
@@ -246,23 +248,13 @@
 // beRead records that the request has been read.
 func (x *transaction) beRead() { x.read, x.connection.lastRequest = true, x.id }
 
-// closesConnection reports whether the connection is closed after this
+// closesConnection reports whether the connection is to be closed after this
 // response. It is closed if a streamed body was not read to its end, because
 // the unread bytes would precede the next request.
 func (x *transaction) closesConnection() bool {
 	return x.request.Close || !x.request.ProtoAtLeast(1, 1) || x.connection.server.draining.Load() || x.body != nil && !x.body.atEOF
 }
 
-// endsConnection reports whether the connection is closed now that the response has been
-// written. A stop that began meanwhile closes it without an announcement.
-func (x *transaction) endsConnection() bool {
-	if !x.closesConnection() {
-		return false
-	}
-	x.connection.progress.finish(unannounced)
-	return true
-}
-
 var errBodyTooLarge = errors.New("body of the request is too large")
 
 // readBody buffers the whole body if it is small and memory is available, and
@@ -371,9 +363,11 @@
 	c := x.connection
 	c.progress.enter(writing)
 	c.output.written = 0
+	// Decided once: a caller that is not told may send its next request on the connection.
+	x.closes = x.closesConnection()
 	resp := &http.Response{
 		StatusCode: response.Status, ProtoMajor: 1, ProtoMinor: 1, Request: x.request,
-		Header: c.server.dialect.Encode(x.id, response), ContentLength: int64(response.Size), Close: x.closesConnection(),
+		Header: c.server.dialect.Encode(x.id, response), ContentLength: int64(response.Size), Close: x.closes,
 	}
 	resp.Body = io.NopCloser(io.MultiReader(strings.NewReader(string(response.Buffered)), remainder(response)))
 	if response.Size == 0 || x.request.Method == http.MethodHead {
@@ -389,7 +383,7 @@
 	switch {
 	case err != nil:
 		c.progress.finish(responseFailed)
-	case resp.Close:
+	case x.closes:
 		c.progress.finish(lastResponse)
 	}
 	x.recordAnswer(response, err)
--- a/caller/state.go
+++ b/caller/state.go
@@ -66,9 +66,6 @@
 	closedIdle connectionEnding = "closed-idle"
 	// lastResponse means that a response announced the close.
 	lastResponse connectionEnding = "last-response"
-	// unannounced means that the server closed the connection after a response that
-	// did not announce it.
-	unannounced connectionEnding = "unannounced"
 	// refused means that a request could not be read.
 	refused connectionEnding = "refused"
 	// responseFailed means that a response could not be written whole.
