caller: a stop answers requests that were pipelined before its close

Callers saw: during a planned stop, the first answer on a connection closed it and the requests that had already arrived behind it ended without an answer. The platform excuses that (such requests count as not read and are sent again), but they had been read, and their callers lose the time. Cause: draining closed the connection with the next response, whatever had arrived behind the request. Change: while connections are accepted, the response announces the close only if nothing has arrived behind its request. Afterwards, and after the cut, every response closes. Evidence: stop.golden and the row "SIGTERM, passed on, another behind it" of endings.golden have two answers in place of one; both failed before.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -96,8 +96,8 @@
 	group  conc.WaitGroup
 	// timing holds the durations in force; never nil.
 	timing atomic.Pointer[settings.Timing]
-	// draining is set when Stop begins; from then on every response closes its
-	// connection.
+	// draining is set when Stop begins; from then on a response closes its connection
+	// unless another request has arrived behind it.
 	draining atomic.Bool
 	// departure is the plan of the stop in progress; nil if there is none, or if it
 	// waits for all requests.
@@ -231,6 +231,16 @@
 
 func (s *Server) releaseSlot() { <-s.slots }
 
+// isAccepting reports whether the server accepts connections.
+func (s *Server) isAccepting() bool {
+	select {
+	case <-s.closed:
+		return false
+	default:
+		return true
+	}
+}
+
 // serve starts the task of a new connection, for which a slot was acquired.
 func (s *Server) serve(nc net.Conn) {
 	c := newConnection(s, nc)
@@ -267,8 +277,9 @@
 
 // Stop removes this daemon from the addresses given to callers, continues to
 // serve callers that still hold its address until the hold time and the leave
-// margin have passed, and then waits for the requests in progress. Meanwhile
-// every response closes its connection, so that callers move to other daemons.
+// margin have passed, and then waits for the requests in progress. Meanwhile the
+// response to the last request that has arrived on a connection closes it, so that
+// callers move to other daemons.
 // Shortly before ctx ends, the requests in progress are cancelled, and then the
 // remaining connections are closed.
 func (s *Server) Stop(ctx context.Context) error {
--- a/caller/connection.go
+++ b/caller/connection.go
@@ -252,7 +252,18 @@
 // response. It is closed if a streamed body was not read to its end, because
 // the unread bytes would precede the next request.
 func (x *transaction) closesConnection() bool {
-	return x.request.Close || !x.request.ProtoAtLeast(1, 1) || x.connection.server.draining.Load() || x.body != nil && !x.body.atEOF
+	return x.request.Close || !x.request.ProtoAtLeast(1, 1) || x.body != nil && !x.body.atEOF || x.connection.isLeaving()
+}
+
+// isLeaving reports whether a stop closes the connection after the response that is about
+// to be written. As long as connections are accepted, requests that have arrived behind it
+// are answered first.
+func (c *connection) isLeaving() bool {
+	s := c.server
+	if !s.draining.Load() {
+		return false
+	}
+	return !s.isAccepting() || c.ctx.Err() != nil || c.reader.Buffered() == 0 && !c.input.hasUnread()
 }
 
 var errBodyTooLarge = errors.New("body of the request is too large")
--- a/caller/receivebuffer.go
+++ b/caller/receivebuffer.go
@@ -423,6 +423,13 @@
 	return err == nil && readable
 }
 
+// hasUnread reports whether bytes have been received that were not read.
+func (b *receiveBuffer) hasUnread() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.data) > 0
+}
+
 // discardUntilClosed discards received bytes until the connection ends or its
 // read deadline passes.
 func (b *receiveBuffer) discardUntilClosed() {
