--- a/caller/endings_test.go
+++ b/caller/endings_test.go
@@ -291,6 +291,9 @@
 	// target has made whole.
 	addresses int
 	made      atomic.Int32
+	// tooLate is set once the end of the stop has closed the connection; answers that are
+	// made later do not count.
+	tooLate atomic.Bool
 	// unread is set if the server waits for the caller to read.
 	unread bool
 	// left is set once the caller has closed its sending side, closed once it has closed
@@ -457,6 +460,7 @@
 
 func (e *ending) awaitConnectionsClosed() {
 	e.accepted().awaitClosed(e.t)
+	e.tooLate.Store(true)
 }
 
 // awaitStopped stops the server, unless it is being stopped, and says what is wrong with
@@ -538,7 +542,9 @@
 	if ctx.Err() != nil && req.Path != "/keyed" {
 		return cancelled
 	}
-	e.made.Add(1)
+	if !e.tooLate.Load() {
+		e.made.Add(1)
+	}
 	response.Buffered, response.Size = make([]byte, answerSize), answerSize
 	return response
 }
