caller: an answer with addresses is not reset by what follows it

Cause: after the addresses were told on a connection that then closes, the connection was closed without lingering. Bytes that arrived behind reset it, and what the caller had not yet received of the answer was lost.

Callers saw a reset in place of the addresses, in a stop too, where every answer closes its connection.

Change: the connection lingers as after any other answer.

Measured: the four rows "addresses told and closed, bytes behind it" change from a reset within the answer to the whole answer.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -181,7 +181,7 @@
 	c, s := x.connection, x.connection.server
 	if response, ok := s.addressResponse(x.request); ok {
 		x.id = id.NewRequest()
-		return x.write(response) && !x.closes
+		return x.finish(response)
 	}
 	req, err := s.dialect.Decode(x.request, x.arrivedAt)
 	if err != nil {
@@ -205,14 +205,18 @@
 		response = work.Refuse(response.Outcome, response.Status, work.Leaving)
 	}
 	s.logResponse(req, response, time.Since(started), c.callerGone())
+	return x.finish(response)
+}
+
+// finish writes a response and reports whether the connection is kept open.
+func (x *transaction) finish(response work.Response) bool {
 	if !x.write(response) {
 		return false
 	}
 	if x.closes {
-		c.linger()
-		return false
+		x.connection.linger()
 	}
-	return true
+	return !x.closes
 }
 
 // closesConnection reports whether the connection is to be closed after this
