caller: the body of a request for addresses is not taken for a request

Cause: the addresses are told without reading the body of the request, and the connection was kept: the body was parsed as the next request.

A request that was smuggled in the body of another was passed on.

Change: the answer to a request for addresses with a body closes the connection.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -181,6 +181,8 @@
 	c, s := x.connection, x.connection.server
 	if response, ok := s.addressResponse(x.request); ok {
 		x.id = id.NewRequest()
+		// A body is not read, and must not be taken for the next request.
+		x.request.Close = x.request.Close || x.request.Body != http.NoBody
 		return x.finish(response)
 	}
 	req, err := s.dialect.Decode(x.request, x.arrivedAt)
