caller: a request is bound by the limits in force when it arrives

Cause: the limits were read before the connection waited for its next request, so that the request after an idle time was bound by those of an older configuration.

Callers with kept connections saw 413 for a body that the configuration in force allows, which they do not send again, and the reverse.

Change: the limits are read once the first byte has arrived.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -123,13 +123,13 @@
 // serveRequest serves one request and reports whether the connection is kept
 // open.
 func (c *connection) serveRequest() bool {
-	limits := c.server.limits()
 	if c.reader.Buffered() == 0 {
-		c.setReadDeadline(limits.IdleTimeout)
+		c.setReadDeadline(c.server.limits().IdleTimeout)
 		if err := c.input.awaitFirstByte(); err != nil {
 			return false
 		}
 	}
+	limits := c.server.limits()
 	c.setReadDeadline(limits.HeaderTimeout)
 	c.header.remaining = int(limits.Header)
 	r, err := http.ReadRequest(c.reader)
