--- a/caller/connection.go
+++ b/caller/connection.go
@@ -146,16 +146,16 @@
 // serveRequest serves one request and reports whether the connection is kept
 // open.
 func (c *connection) serveRequest() bool {
-	limits := c.server.limits()
 	if c.reader.Buffered() == 0 {
 		c.progress.enter(idle)
-		c.setReadDeadline(limits.IdleTimeout)
+		c.setReadDeadline(c.server.limits().IdleTimeout)
 		if err := c.input.awaitFirstByte(); err != nil {
 			c.progress.finish(endingOf(err))
 			return false
 		}
 	}
 	c.progress.enter(receivingHead)
+	limits := c.server.limits()
 	c.setReadDeadline(limits.HeaderTimeout)
 	c.header.remaining = int(limits.Header)
 	r, err := http.ReadRequest(c.reader)
@@ -210,7 +210,9 @@
 	if response, ok := s.addressResponse(x.request); ok {
 		x.id = id.NewRequest()
 		x.beRead()
-		return x.write(response) && !x.closes
+		// A body is not read, and must not be taken for the next request.
+		x.request.Close = x.request.Close || x.request.Body != http.NoBody
+		return x.finish(response)
 	}
 	req, err := s.dialect.Decode(x.request, x.arrivedAt)
 	if err != nil {
@@ -235,14 +237,18 @@
 		response = work.Refuse(response.Outcome, response.Status, work.Leaving)
 	}
 	x.logResponse(req, response, time.Since(started))
+	return x.finish(response)
+}
+
+// finish writes a response and reports whether the connection is kept open.
+func (x *transaction) finish(response work.Response) bool {
 	if !x.write(response) {
 		return false
 	}
 	if x.closes {
-		c.linger()
-		return false
+		x.connection.linger()
 	}
-	return true
+	return !x.closes
 }
 
 // beRead records that the request has been read.
