A planned stop cuts off requests whose key outlives their connection

Callers saw (project's own protocol; the platform's callers send no keys): a request with a key that may run once runs on when its connection ends, so the cut of a stop did not reach it. The daemon's stop waited for it beyond its bound, where the platform kills the process, and every request in progress ends without an answer. Cause: router.runKeyed detaches the request from its connection, also from the cut; for relayed ones dispatch waits for attempts that nobody cancels. Change: the cut is passed on to detached requests, and an execution ends with its service. Callers get "unknown". Open: a keyed request whose caller left before the stop is not reached by the cut in caller.Server.Stop.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -336,7 +336,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.connections {
-		c.cancelCause(errCutOff)
+		c.cancelCause(departure.ErrCutOff)
 	}
 }
 
--- a/caller/connection.go
+++ b/caller/connection.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/briarrouter/briarrouter/departure"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/outcome"
 	"github.com/briarrouter/briarrouter/unit"
@@ -39,16 +40,12 @@
 	// lastRequest is the last request that was read; empty before one was. Only the
 	// connection's task uses it.
 	lastRequest id.Request
-	// ctx is cancelled when the caller disconnects, and with the cause errCutOff at the
-	// end of a stop.
+	// ctx is cancelled when the caller disconnects, and with the cause
+	// departure.ErrCutOff at the end of a stop.
 	ctx         context.Context
 	cancelCause context.CancelCauseFunc
 }
 
-// errCutOff is the cause for which the requests that are in progress at the end of a
-// stop are cancelled.
-var errCutOff = errors.New("the daemon is being stopped")
-
 func (c *connection) cancel() { c.cancelCause(nil) }
 
 // disconnected cancels the requests of a connection that has ended.
@@ -63,7 +60,7 @@
 }
 
 // isCutOff reports whether the end of a stop has cancelled the requests.
-func (c *connection) isCutOff() bool { return errors.Is(context.Cause(c.ctx), errCutOff) }
+func (c *connection) isCutOff() bool { return errors.Is(context.Cause(c.ctx), departure.ErrCutOff) }
 
 const (
 	// Buffers of these sizes hold a typical header section. A response that is
--- a/departure/departure.go
+++ b/departure/departure.go
@@ -4,7 +4,14 @@
 // still in progress at the end is cut off.
 package departure
 
-import "time"
+import (
+	"errors"
+	"time"
+)
+
+// ErrCutOff is the cause for which the contexts of the requests that are in progress at
+// the end of a stop are cancelled.
+var ErrCutOff = errors.New("the daemon is being stopped")
 
 // Plan is the course of a planned stop. It is immutable.
 type Plan struct {
--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -53,7 +53,13 @@
 		service: s, req: req, route: route, outcome: outcome.NotRun, ended: make(chan *attempt, maxRunning),
 		job: schedule.Job{Caller: req.Caller, Route: route, Identity: req.Identity(), Deadline: req.Deadline, Size: req.Body.Size},
 	}
-	e.ctx, e.cancel = context.WithDeadline(ctx, req.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	// A request that outlives its caller must not outlive the service.
+	stop := context.AfterFunc(s.ctx, cancel)
+	e.ctx, e.cancel = ctx, func() {
+		stop()
+		cancel()
+	}
 	return e
 }
 
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -58,6 +58,8 @@
 	// coverageLoggedAt is when the coverage of the targets was last logged.
 	coverageLoggedAt time.Time
 
+	// ctx ends when the service is stopped. It is set by start.
+	ctx    context.Context
 	cancel context.CancelFunc
 	group  conc.WaitGroup
 }
@@ -95,6 +97,7 @@
 
 func (s *serviceDispatcher) start(ctx context.Context) {
 	ctx, s.cancel = context.WithCancel(ctx)
+	s.ctx = ctx
 	s.dispatcher.lists.WatchTargets(ctx, &s.group, s.name, func(c schedule.TargetChange) { s.updateTargets(ctx, c) })
 	s.group.Go(func() { s.loop(ctx) })
 }
--- a/e2e/signal_test.go
+++ b/e2e/signal_test.go
@@ -166,3 +166,33 @@
 	<-upload.result
 	require.Empty(t, <-profile)
 }
+
+// stopDuringKeyedRequest stops a daemon while a request runs whose key it owns, and
+// returns the result for the caller, who sent it through the given daemon.
+func (f *fleet) stopDuringKeyedRequest(owner, through *daemon) result {
+	const bound = 3 * time.Second
+	f.limitStop(owner, bound)
+	r := request{method: "POST", workID: "w-1", key: f.addresses(owner).KeyPrefix + "a", serviceMicroseconds: 30_000_000}
+	pending := f.sendAsync(through, r)
+	f.wait(func() bool { return f.runs("w-1") == 1 })
+	begin := time.Now()
+	f.signal(owner, stop)
+	f.exit(owner)
+	require.Less(f.t, time.Since(begin), bound+killMargin)
+	return <-pending.result
+}
+
+func TestKeyedRequestDoesNotOutlastStop(t *testing.T) {
+	f := startFleet(t)
+	got := f.stopDuringKeyedRequest(f.daemons[0], f.daemons[0])
+	require.NoError(t, got.err)
+	require.Equal(t, "unknown", got.outcome)
+}
+
+// TestRelayedKeyedRequestDoesNotOutlastStop stops the daemon that dispatches the service.
+func TestRelayedKeyedRequestDoesNotOutlastStop(t *testing.T) {
+	f := startFleet(t)
+	got := f.stopDuringKeyedRequest(f.daemons[3], f.daemons[1])
+	require.NoError(t, got.err)
+	require.Equal(t, "unknown", got.outcome)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -254,8 +255,8 @@
 }
 
 // runKeyed runs the first request with its key. It continues when the caller
-// disconnects, so that a retry with the key finds the response. If dispatch
-// panics, the outcome recorded for the key is unknown.
+// disconnects, so that a retry with the key finds the response, but not after the cut of
+// a stop. If dispatch panics, the outcome recorded for the key is unknown.
 func (r *Router) runKeyed(ctx context.Context, req *work.Request, m configuration.Match, e *idempotency.Entry) work.Response {
 	response := work.Refuse(outcome.Unknown, http.StatusBadGateway, work.TargetFailed)
 	defer func() {
@@ -263,7 +264,14 @@
 		defer r.mu.Unlock()
 		r.keys.Settle(req.Key, e, response)
 	}()
-	response = r.dispatch(context.WithoutCancel(ctx), req, m)
+	detached, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		if errors.Is(context.Cause(ctx), departure.ErrCutOff) {
+			cancel(departure.ErrCutOff)
+		}
+	})
+	defer stop()
+	response = r.dispatch(detached, req, m)
 	return response
 }
 
