--- a/command/serve.go
+++ b/command/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -11,6 +12,7 @@
 
 	"github.com/briarrouter/briarrouter/caller"
 	"github.com/briarrouter/briarrouter/configuration"
+	"github.com/briarrouter/briarrouter/departure"
 	"github.com/briarrouter/briarrouter/dispatch"
 	"github.com/briarrouter/briarrouter/id"
 	"github.com/briarrouter/briarrouter/idempotency"
@@ -37,6 +39,9 @@
 
 // Execute runs the daemon until SIGINT or SIGTERM.
 func (s *serveCommand) Execute([]string) error {
+	// A SIGHUP during the start is handled after it.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	data, err := os.ReadFile(s.Settings)
 	if err != nil {
 		return invalidInputError(fmt.Errorf("settings: %w", err))
@@ -50,18 +55,43 @@
 		return err
 	}
 	out := newLogWriter(s.streams.out)
-	defer out.Close()
+	defer flushLog(out)
 	log := newLogger(out).Level(level).With().Str("Host", string(daemon.Host)).Logger()
 	b := &daemonBuilder{daemon: daemon, log: log, dropped: out.dropped, now: time.Now()}
 	k, err := b.buildKernel()
 	if err != nil {
 		return invalidInputError(err)
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	return run(k, &reloader{path: s.Settings, log: log, kernel: k, signals: reload, current: daemon, data: data, stopBound: b.stopBound})
 }
 
+// logFlushTime is how long the process waits at its end for the reader of the log.
+const logFlushTime = 100 * time.Millisecond
+
+// logFlush is the writing of the lines that are buffered at the end of the process.
+type logFlush struct {
+	out  logWriter
+	done chan struct{}
+}
+
+// flushLog writes the buffered lines and drops those that the reader of the log has not
+// taken within logFlushTime.
+func flushLog(out logWriter) {
+	f := &logFlush{out, make(chan struct{})}
+	go f.run()
+	timer := time.NewTimer(logFlushTime)
+	defer timer.Stop()
+	select {
+	case <-f.done:
+	case <-timer.C:
+	}
+}
+
+func (f *logFlush) run() {
+	defer close(f.done)
+	f.out.Close()
+}
+
 // killMargin is how long before the platform kills a daemon its stop ends.
 const killMargin = 500 * time.Millisecond
 
@@ -85,24 +115,77 @@
 	return bound, nil
 }
 
+// stopRequest is the first SIGINT or SIGTERM to the process. Later ones change nothing.
+type stopRequest struct {
+	signals chan os.Signal
+	// ctx ends when the signal has arrived.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// at is when the signal arrived. It is set before ctx ends.
+	at time.Time
+}
+
+// newStopRequest replaces the default action of the signals, which is to end the process.
+func newStopRequest() *stopRequest {
+	s := &stopRequest{signals: make(chan os.Signal, 1)}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	signal.Notify(s.signals, os.Interrupt, syscall.SIGTERM)
+	go s.run()
+	return s
+}
+
+func (s *stopRequest) run() {
+	<-s.signals
+	s.at = time.Now()
+	s.cancel()
+}
+
+// begin returns when the stop began: when the signal arrived or, if none has, now.
+func (s *stopRequest) begin() time.Time {
+	if s.ctx.Err() == nil {
+		return time.Now()
+	}
+	return s.at
+}
+
 // run starts the services, applies changed settings until SIGINT or SIGTERM, and
-// stops the services. The stop takes at most the bound that stopBound gives, or, if that
-// is zero, as long as the requests in progress take.
+// stops the services. A signal during the start ends the start. If a service fails to
+// start, run stops those already started.
 func run(k *kernel.Kernel, r *reloader) error {
 	daemon, log := r.current, r.log
 	log.Info().Str("FailureDomain", string(daemon.FailureDomain)).Int("Seeds", len(daemon.Seeds)).Msg("starting")
-	if err := k.Start(context.Background()); err != nil {
+	stop := newStopRequest()
+	err := k.Start(stop.ctx)
+	switch {
+	case errors.Is(err, context.Canceled):
+		err = leave(k)
+	case err == nil:
+		go r.run(stop.ctx)
+		<-stop.ctx.Done()
+	}
+	return errors.Join(err, stopServices(k, log, stop.begin(), r.end()))
+}
+
+// leave keeps a daemon that is stopped during its start from becoming ready until its
+// peer service has stopped.
+func leave(k *kernel.Kernel) error {
+	member, err := kernel.Find[interface{ Leave(plan *departure.Plan) }](k, peer.ServiceName)
+	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	r.run(ctx)
-	bound := r.stopBound
-	log.Info().Dur("Bound", bound).Msg("stopping")
-	ctx = context.Background()
+	member.Leave(nil)
+	return nil
+}
+
+// stopServices stops the services that have started. It ends at most the bound that
+// stopBound gives after the stop began, or, if that is zero, when the requests in progress
+// have ended.
+func stopServices(k *kernel.Kernel, log zerolog.Logger, begin time.Time, bound time.Duration) error {
+	log.Info().Dur("Bound", bound).Dur("Since", time.Since(begin)).Msg("stopping")
+	ctx := context.Background()
 	if bound > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, bound)
+		ctx, cancel = context.WithDeadline(ctx, begin.Add(bound))
 		defer cancel()
 	}
 	err := k.Stop(ctx)
