caller: a handler that panics does not take its connection and the stop along

Callers saw: if handling a request panicked, its connection ended without an answer, and the next stop of the daemon panicked too, so that it ended with a failure. Cause: nothing recovered the panic; the wait group of the connections kept it until Stop waited. Change: the request is answered 502 unknown, since it may have run, and the stack is logged.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -229,7 +230,7 @@
 	x.beRead()
 	req.Departure, req.Progress = s.departure.Load(), c.progress.handle()
 	started := time.Now()
-	response := s.handler.Handle(c.ctx, req)
+	response := x.handle(req)
 	if response.Reason == work.CallerGone && !c.callerGone() {
 		response = work.Refuse(response.Outcome, response.Status, work.Leaving)
 	}
@@ -237,6 +238,19 @@
 	return x.finish(response)
 }
 
+// handle passes the request to the handler. If that panics, it is unknown whether the
+// request ran.
+func (x *transaction) handle(req *work.Request) (response work.Response) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			x.connection.server.log.Error().Str("Request", string(req.ID)).Interface("Cause", cause).Bytes("Stack", debug.Stack()).
+				Msg("handling a request panicked")
+			response = work.Refuse(outcome.Unknown, http.StatusBadGateway, work.InternalError)
+		}
+	}()
+	return x.connection.server.handler.Handle(x.connection.ctx, req)
+}
+
 // finish writes a response and reports whether the connection is kept open.
 func (x *transaction) finish(response work.Response) bool {
 	if !x.write(response) {
--- a/work/work.go
+++ b/work/work.go
@@ -150,6 +150,8 @@
 	RequestTooLarge   Reason = "request-too-large"
 	// Leaving means that the daemon is being stopped before the request could end.
 	Leaving Reason = "leaving"
+	// InternalError means that handling the request panicked.
+	InternalError Reason = "internal-error"
 )
 
 // Response is the response to a request. Whoever writes it to its receiver calls
