soak: planned work without faults, and the promise Lost

Cause: the soak mixed planned stops with faults, and its callers sent one request of 40 ms at a time on connections through a proxy, within a deadline of 2.5 s. No request could outlast the cut of a stop, so that no run could show requests that were accepted and got no answer.

Callers saw: a POST that a target had begun, answered 504 by the daemon when its planned stop cut it off.

Two series of stops overlap, some of them shortly after a start; during them come SIGHUP with changed settings, further SIGTERMs, configurations, and targets that leave and join. Callers connect without a proxy and differ in habits: lists of addresses held three times too long, kept connections, pipelining, slow uploads, slow readers, and visits to the daemon that is being stopped.

Every violation says when the request was sent, sent whole and ended, the answer, and when a target began and ended it. While Lost is checked, StopCutsNothing does not judge connections, which Lost covers with the excuses, and Served leaves out requests to a daemon that is being stopped.

A caller now reads a response while it still sends the body, as the platform's do; until now a response that came early was lost.

--- a/command/soak.go
+++ b/command/soak.go
@@ -24,17 +24,26 @@
 	Cases     string        `long:"cases" value-name:"FILE" description:"runs the cases of a file instead; each line has a seed, a duration and the reason for the case"`
 	Duration  time.Duration `long:"span" value-name:"DURATION" default:"30s" description:"how long faults are injected for each seed"`
 	Daemons   int           `long:"daemons" value-name:"N" default:"6" description:"number of daemon processes"`
-	Targets   int           `long:"targets" value-name:"N" default:"5" description:"number of targets of each of the three services"`
-	Callers   int           `long:"callers" value-name:"N" default:"12" description:"number of callers"`
-	Pause     time.Duration `long:"pause" value-name:"DURATION" default:"60ms" description:"mean time between two requests of a caller"`
+	Targets   int           `long:"targets" value-name:"N" description:"number of targets of each of the three services (default: 5, or 8 with --stops)"`
+	Callers   int           `long:"callers" value-name:"N" description:"number of callers (default: 12, or 160 with --stops)"`
+	Pause     time.Duration `long:"pause" value-name:"DURATION" description:"mean time between two requests of a caller (default: 60ms, or 250ms with --stops)"`
+	Stops     bool          `long:"stops" description:"plans work instead of faults: stops, changed settings, configurations, targets that leave and join"`
+	RunShare  float64       `long:"run-share" value-name:"SHARE" description:"share of the time in which the daemons may run (default: all of it)"`
+	Program   string        `long:"program" value-name:"FILE" description:"program under test (default: this one)"`
 	Directory string        `long:"directory" value-name:"DIR" description:"directory for settings and logs (default: a temporary directory, removed unless a promise is broken)"`
 }
 
 // Execute runs the cases one after the other and reports broken promises.
 func (c *soakCommand) Execute([]string) error {
-	program, err := os.Executable()
-	if err != nil {
-		return err
+	program := c.Program
+	if program == "" {
+		var err error
+		if program, err = os.Executable(); err != nil {
+			return err
+		}
+	}
+	if err := c.setDefaults(); err != nil {
+		return invalidInputError(err)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -58,6 +67,33 @@
 	return nil
 }
 
+// The load without and with planned work.
+const (
+	defaultTargets, defaultCallers, defaultPause = 5, 12, 60 * time.Millisecond
+	plannedTargets, plannedCallers, plannedPause = 8, 160, 250 * time.Millisecond
+)
+
+// setDefaults sets the options whose defaults depend on others, and checks the rest.
+func (c *soakCommand) setDefaults() error {
+	targets, callers, pause := defaultTargets, defaultCallers, defaultPause
+	if c.Stops {
+		targets, callers, pause = plannedTargets, plannedCallers, plannedPause
+	}
+	if c.Targets == 0 {
+		c.Targets = targets
+	}
+	if c.Callers == 0 {
+		c.Callers = callers
+	}
+	if c.Pause == 0 {
+		c.Pause = pause
+	}
+	if c.RunShare < 0 || c.RunShare >= 1 {
+		return fmt.Errorf("invalid run-share %g; accepted: at least 0 and less than 1", c.RunShare)
+	}
+	return nil
+}
+
 // soakCase holds the seed of a soak and how long faults are injected.
 type soakCase struct {
 	seed     uint64
@@ -129,7 +165,7 @@
 	}
 	defer out.Close()
 	report, err := soak.New(soak.Config{
-		Program: program, Directory: dir, Seed: seed, Duration: sc.duration, Daemons: c.Daemons, Targets: c.Targets, Callers: c.Callers, Pause: c.Pause, Out: out,
+		Program: program, Directory: dir, Seed: seed, Duration: sc.duration, Daemons: c.Daemons, Targets: c.Targets, Callers: c.Callers, Pause: c.Pause, PlannedWork: c.Stops, RunShare: c.RunShare, Out: out,
 	}).Run(ctx)
 	if err != nil {
 		return false, errors.Join(err, fmt.Errorf("logs are in %s", dir))
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -124,7 +124,7 @@
 	c.soak.checker.requestSent(call, c.process)
 	response, written, err := c.conn.Do(call)
 	c.soak.checker.requestEnded(call, response, written, err)
-	if err != nil || response.Close {
+	if err != nil || response.Close || written.IsZero() {
 		c.closeConn()
 	}
 }
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -66,6 +66,10 @@
 	process *daemonProcess
 	// runs counts how often a target started to run the request.
 	runs int
+	// executions holds the runs. arrived is set when the request reaches a target, and
+	// behind if it was sent before an earlier one on its connection was answered.
+	executions      []execution
+	arrived, behind bool
 	// refused is set when a response guarantees that the request has not run.
 	refused bool
 }
@@ -95,6 +99,8 @@
 	// draining maps each draining target to when it began to drain.
 	draining   map[id.Target]time.Time
 	statements statementChecker
+	// losses checks Lost; nil while faults are injected.
+	losses *lossChecker
 }
 
 // routeAssignment is the service that a published configuration assigns the route
@@ -155,6 +161,7 @@
 		return
 	}
 	request.runs++
+	request.executions = append(request.executions, execution{target: r.Target, began: time.Now()})
 	if request.runs > 1 && !request.idempotent {
 		c.recordViolationLocked(AtMostOnce, "request %s ran %d times, last on target %s", r.Request, request.runs, r.Target)
 	}
@@ -195,14 +202,25 @@
 	}
 }
 
-// requestEnded handles the result of a request at its caller. The parameter
-// written reports whether the whole request was written.
-func (c *checker) requestEnded(call platformtest.Call, response platformtest.Response, written bool, err error) {
+// requestBehind marks a request that was sent before an earlier one on its connection was
+// answered.
+func (c *checker) requestBehind(call platformtest.Call) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests[call.Request].behind = true
+}
+
+// requestEnded handles the result of a request at its caller. The parameter written is
+// when the last byte of the request was written; zero if it was not.
+func (c *checker) requestEnded(call platformtest.Call, response platformtest.Response, written time.Time, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	request := c.requests[call.Request]
 	served := err == nil && response.Status == 200
-	if c.faults.noneSince(request.sent.Add(-settleTime)) {
+	if c.losses != nil {
+		c.checkLost(call, response, written, err)
+	}
+	if c.faults.noneSince(request.sent.Add(-settleTime)) && !c.sentToLeaving(request) {
 		c.faultFreeSent++
 		if served {
 			c.faultFreeServed++
@@ -211,7 +229,7 @@
 	switch {
 	case err != nil:
 		c.counts.ConnectionErrors++
-		if written && request.runs > 0 && request.process.stoppedFaultFree(c.faults) {
+		if c.losses == nil && !written.IsZero() && request.runs > 0 && request.process.stoppedFaultFree(c.faults) {
 			c.recordViolationLocked(StopCutsNothing, "request %s ran, but daemon %s sent no complete response in its planned stop: %v", call.Request, request.process.daemon.name, err)
 		}
 	case served:
@@ -228,11 +246,20 @@
 	}
 }
 
+// sentToLeaving reports whether Lost is checked and the request's process was being
+// stopped, so that it may have been refused.
+func (c *checker) sentToLeaving(r *requestRecord) bool {
+	return c.losses != nil && !r.process.stopTime().IsZero()
+}
+
 // checkResponse checks a successful response against OwnAnswer. The caller must
 // hold c.mu.
 func (c *checker) checkResponse(call platformtest.Call, response platformtest.Response, request *requestRecord) {
 	target, _, _ := strings.Cut(response.Body, " ")
 	want := platformtest.ResponseBody(id.Target(target), call.Request, call.Path, call.Body)
+	if c.losses != nil {
+		want += strings.Repeat(" ", paddingOf(call.Path))
+	}
 	if response.Body != want || response.Signature != platformtest.Sign(want) || response.Attempt != call.Request || request.runs == 0 {
 		c.recordViolationLocked(OwnAnswer, "request %s got response %q with signature %q for request %q after %d runs; expected response %q with signature %q for request %q after at least one run",
 			call.Request, response.Body, response.Signature, response.Attempt, request.runs, want, platformtest.Sign(want), call.Request)
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -16,7 +17,7 @@
 // callers and targets.
 func TestChecker(t *testing.T) {
 	scripttest.Run(t, ".script", func(*testing.T) func([]string) string {
-		s := &checkerScript{calls: make(map[string]platformtest.Call), processes: make(map[string]*daemonProcess)}
+		s := &checkerScript{calls: make(map[string]platformtest.Call), written: make(map[string]time.Time), processes: make(map[string]*daemonProcess)}
 		s.faults = &faultTracker{}
 		s.checker = newChecker(time.Now(), s.faults)
 		return s.execute
@@ -24,9 +25,11 @@
 }
 
 type checkerScript struct {
-	faults    *faultTracker
-	checker   *checker
-	calls     map[string]platformtest.Call
+	faults  *faultTracker
+	checker *checker
+	calls   map[string]platformtest.Call
+	// written holds when each request was sent whole.
+	written   map[string]time.Time
 	processes map[string]*daemonProcess
 	endFault  func()
 }
@@ -47,12 +50,17 @@
 //	move SERVICE (assigns the route of /moving/ to a service)
 //	drain TARGET
 //	stop DAEMON
-//	send REQUEST idempotent|non-idempotent PATH DAEMON
+//	planned (from here on there is nothing but planned work)
+//	send REQUEST idempotent|non-idempotent PATH DAEMON [behind]
 //	run REQUEST TARGET
 //	respond REQUEST STATUS [REQUEST whose response is sent instead]
 //	state REQUEST TARGET [leaving] [backoff=DURATION] [limit=N] (what a response says)
 //	arrive TARGET REQUEST...
-//	cut REQUEST (the connection is lost before the response)
+//	finish REQUEST TARGET (the target's work ends)
+//	gone TARGET
+//	answer REQUEST STATUS (of the daemon's own)
+//	cut REQUEST [unsent] (the connection is lost before the response)
+//	timeout REQUEST (its caller waits no longer)
 //	report
 func (s *checkerScript) execute(w []string) string {
 	c := s.checker
@@ -74,10 +82,15 @@
 		c.draining[id.Target(w[1])] = time.Now()
 	case "stop":
 		s.process(w[1]).stopRequestedAt = time.Now()
+	case "planned":
+		c.losses = newLossChecker()
 	case "send":
-		call := platformtest.Call{Request: id.Request(w[1]), Idempotent: w[2] == "idempotent", Path: w[3]}
-		s.calls[w[1]] = call
+		call := platformtest.Call{Request: id.Request(w[1]), Idempotent: w[2] == "idempotent", Path: w[3], Timeout: 5 * time.Second}
+		s.calls[w[1]], s.written[w[1]] = call, time.Now()
 		c.requestSent(call, s.process(w[4]))
+		if len(w) > 5 {
+			c.requestBehind(call)
+		}
 	case "run":
 		service, _, _ := strings.Cut(w[2], "-")
 		c.requestStarted(platformtest.Run{Request: id.Request(w[1]), Target: id.Target(w[2]), Service: id.Service(service), Path: s.calls[w[1]].Path})
@@ -89,10 +102,27 @@
 		}
 	case "respond":
 		s.respond(w)
+	case "finish":
+		c.requestFinished(platformtest.Run{Request: id.Request(w[1]), Target: id.Target(w[2])})
+	case "gone":
+		c.targetGone(id.Target(w[1]))
+	case "answer":
+		var status int
+		fmt.Sscan(w[2], &status)
+		c.requestEnded(s.calls[w[1]], platformtest.Response{Status: status}, s.written[w[1]], nil)
 	case "cut":
-		c.requestEnded(s.calls[w[1]], platformtest.Response{}, true, errors.New("connection reset"))
+		if len(w) > 2 {
+			s.written[w[1]] = time.Time{}
+		}
+		c.requestEnded(s.calls[w[1]], platformtest.Response{}, s.written[w[1]], errors.New("connection reset"))
+	case "timeout":
+		c.requestEnded(s.calls[w[1]], platformtest.Response{}, s.written[w[1]], os.ErrDeadlineExceeded)
 	case "report":
-		return fmt.Sprintf("%+v", c.counts)
+		text := fmt.Sprintf("%+v", c.counts)
+		if c.losses != nil {
+			text += fmt.Sprintf("\n%+v", c.losses.counts)
+		}
+		return text
 	}
 	var lines []string
 	for _, v := range c.violations[before:] {
@@ -129,5 +159,5 @@
 		responseOf = id.Request(w[3])
 	}
 	text := platformtest.ResponseBody("beds-1", responseOf, call.Path, nil)
-	s.checker.requestEnded(call, platformtest.Response{Status: status, Body: text, Signature: platformtest.Sign(text), Attempt: call.Request}, true, nil)
+	s.checker.requestEnded(call, platformtest.Response{Status: status, Body: text, Signature: platformtest.Sign(text), Attempt: call.Request}, time.Now(), nil)
 }
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -28,8 +28,11 @@
 	resolveAddress, readyAddress, operatorAddress id.Address
 	// These proxies forward to the addresses for callers and for peers.
 	callerProxy, peerProxy *proxy
-	settingsPath           string
-	log                    *os.File
+	// callerAddress is the address that callers are given: that of callerProxy, or the
+	// daemon's own while no faults are injected.
+	callerAddress id.Address
+	settingsPath  string
+	log           *os.File
 
 	mu sync.Mutex
 	// process is the running process; nil if there is none.
@@ -55,6 +58,13 @@
 	stopRequestedAt time.Time
 }
 
+// stopTime returns when a planned stop began; zero before that.
+func (p *daemonProcess) stopTime() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stopRequestedAt
+}
+
 // stoppedFaultFree reports whether a planned stop was requested and no fault can
 // have affected it.
 func (p *daemonProcess) stoppedFaultFree(f *faultTracker) bool {
@@ -79,6 +89,10 @@
 	p := &daemonProcess{daemon: d, cmd: cmd, exited: make(chan struct{})}
 	d.process = p
 	d.soak.group.Go(p.run)
+	if share := d.soak.cfg.RunShare; share > 0 {
+		t := &throttle{process: p, share: share}
+		d.soak.group.Go(t.run)
+	}
 	return nil
 }
 
@@ -221,7 +235,7 @@
 Probe = 500ms
 Join = 1s
 SlowCaller = %ds
-`, d.name, d.domain, callers, peers, d.operatorAddress, d.callerProxy.address(), d.peerProxy.address(), d.resolveAddress, d.readyAddress,
+`, d.name, d.domain, callers, peers, d.operatorAddress, d.callerAddress, d.peerProxy.address(), d.resolveAddress, d.readyAddress,
 		strings.Join(list, ","), d.soak.storeProxy.address(), 10+variant%5)
 	// The rename makes the replacement atomic: the daemon never reads a partial file.
 	next := d.settingsPath + ".next"
@@ -241,6 +255,10 @@
 	if d.callerProxy, err = newProxy(listen[0]); err != nil {
 		return nil, err
 	}
+	d.callerAddress = d.callerProxy.address()
+	if s.cfg.PlannedWork {
+		d.callerAddress = listen[0]
+	}
 	if d.peerProxy, err = newProxy(listen[1]); err != nil {
 		return nil, err
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/briarrouter/briarrouter/clock"
@@ -34,6 +35,11 @@
 	Daemons, Targets, Callers int
 	// Pause is the mean time between two requests of a caller.
 	Pause time.Duration
+	// PlannedWork replaces the faults by planned work: stops, changed settings,
+	// configurations, and targets that leave and join.
+	PlannedWork bool
+	// RunShare is the share of the time in which daemons may run; 0 for all of it.
+	RunShare float64
 	// Out receives a line for the start and end of each fault, for each target crash
 	// and operator action, and for each error that occurs in one of these.
 	Out io.Writer
@@ -57,7 +63,7 @@
 	store      *platformtest.Store
 	storeProxy *proxy
 	daemons    []*daemon
-	// daemonByAddress finds a daemon by the address of its callerProxy.
+	// daemonByAddress finds a daemon by its callerAddress.
 	daemonByAddress map[id.Address]*daemon
 	targets         []*target
 	// targetsStarted counts the targets started so far, including those removed
@@ -65,6 +71,8 @@
 	targetsStarted int
 	// published counts the published configurations.
 	published uint64
+	// actions serializes the planned work of stopSeries.
+	actions sync.Mutex
 }
 
 // Report is the result of a soak.
@@ -76,6 +84,10 @@
 	FaultFreeSent, FaultFreeServed int
 	// Faults counts the injected faults, but not the target crashes.
 	Faults int
+	// Stops counts the planned stops, and Losses the requests that ended without a
+	// response of their target, if there is nothing but planned work.
+	Stops  int
+	Losses LossCounts
 	// StoreCalls counts the calls that the store did not refuse.
 	StoreCalls int64
 }
@@ -83,8 +95,12 @@
 // String returns the report as one line.
 func (r Report) String() string {
 	c := r.Counts
-	return fmt.Sprintf("faults %d, sent %d, served %d, refused %d, failed %d, connection errors %d, served without faults %d of %d, store calls %d, violations %d",
+	text := fmt.Sprintf("faults %d, sent %d, served %d, refused %d, failed %d, connection errors %d, served without faults %d of %d, store calls %d, violations %d",
 		r.Faults, c.Sent, c.Served, c.Refused, c.Failed, c.ConnectionErrors, r.FaultFreeServed, r.FaultFreeSent, r.StoreCalls, len(r.Violations))
+	if l := r.Losses; r.Stops > 0 {
+		text += fmt.Sprintf(", stops %d, lost with an own status %d, passed on %d, unread %d, waiting at the cut %d, excused %v", r.Stops, l.OwnStatus, l.PassedOn, l.Unread, l.WaitingAtCut, l.Excused)
+	}
+	return text
 }
 
 func New(cfg Config) *Soak {
@@ -106,6 +122,9 @@
 	defer s.shutDown()
 	s.started = time.Now()
 	s.checker = newChecker(s.started, s.faults)
+	if s.cfg.PlannedWork {
+		s.checker.losses = newLossChecker()
+	}
 	if err := s.setUp(); err != nil {
 		return Report{}, err
 	}
@@ -115,9 +134,23 @@
 		}
 	}
 	for n := range s.cfg.Callers {
-		c := &caller{soak: s, random: rand.New(rand.NewPCG(s.cfg.Seed, uint64(100+n))), domain: domains[n%len(domains)]}
+		random, domain := rand.New(rand.NewPCG(s.cfg.Seed, uint64(100+n))), domains[n%len(domains)]
+		if s.cfg.PlannedWork {
+			c := &plannedCaller{soak: s, random: random, domain: domain, habit: habits[n%len(habits)]}
+			s.group.Go(c.run)
+			continue
+		}
+		c := &caller{soak: s, random: random, domain: domain}
 		s.group.Go(c.run)
 	}
+	var report Report
+	if s.cfg.PlannedWork {
+		stops := s.runPlannedWork()
+		clock.Sleep(s.context, finalPeriod)
+		report = s.buildReport(0)
+		report.Stops = stops
+		return report, ctx.Err()
+	}
 	j := &injector{soak: s, statements: rand.New(rand.NewPCG(s.cfg.Seed, 9))}
 	j.run()
 	clock.Sleep(s.context, finalPeriod)
@@ -132,8 +165,12 @@
 	if float64(c.faultFreeServed) < minServedShare*float64(c.faultFreeSent) {
 		c.recordViolationLocked(Served, "of %d requests that no fault can have affected, %d were served; the minimum is %.0f%%", c.faultFreeSent, c.faultFreeServed, 100*minServedShare)
 	}
+	var losses LossCounts
+	if c.losses != nil {
+		losses = c.losses.counts
+	}
 	return Report{
-		Violations: c.violations, Counts: c.counts, FaultFreeSent: c.faultFreeSent, FaultFreeServed: c.faultFreeServed, Faults: injected, StoreCalls: s.store.Calls(),
+		Losses: losses, Violations: c.violations, Counts: c.counts, FaultFreeSent: c.faultFreeSent, FaultFreeServed: c.faultFreeServed, Faults: injected, StoreCalls: s.store.Calls(),
 	}
 }
 
@@ -163,7 +200,7 @@
 			return err
 		}
 		s.daemons = append(s.daemons, d)
-		s.daemonByAddress[d.callerProxy.address()] = d
+		s.daemonByAddress[d.callerAddress] = d
 	}
 	for _, d := range s.daemons {
 		if err := d.writeSettings(s.peerSeeds(), d.callerProxy.upstream, d.peerProxy.upstream, 0); err != nil {
@@ -220,9 +257,13 @@
 	// ConfigurationInForce is not checked too early.
 	c.assignments = append(c.assignments, routeAssignment{service: next, at: time.Now().Add(time.Hour)})
 	c.mu.Unlock()
-	s.store.Publish(s.published*versionStep, services, []platformtest.Route{
+	routes := []platformtest.Route{
 		route("search", searchPath, true, services[0]), route("reserve", reservePath, false, services[1]), route("moving", reassignedPath, false, next),
-	})
+	}
+	if s.cfg.PlannedWork {
+		routes = s.routes(next)
+	}
+	s.store.Publish(s.published*versionStep, services, routes)
 	c.mu.Lock()
 	c.assignments[len(c.assignments)-1].at = time.Now()
 	c.mu.Unlock()
--- a/soak/statement.go
+++ b/soak/statement.go
@@ -97,6 +97,7 @@
 	if request == nil {
 		return
 	}
+	request.arrived = true
 	now, l := time.Now(), listener{request.process, r.Target}
 	if said, ok := c.statements.leaving[l]; ok && request.sent.After(said.Add(propagationBound)) {
 		c.recordViolationLocked(StatementsKept, "request %s reached target %s %.1f s after daemon %s had passed on that it is leaving", r.Request, r.Target, now.Sub(said).Seconds(), l.process.daemon.name)
--- a/soak/target.go
+++ b/soak/target.go
@@ -19,6 +19,7 @@
 
 const (
 	targetSlots       = 3
+	plannedSlots      = 4
 	targetServiceTime = 40 * time.Millisecond
 )
 
@@ -26,10 +27,14 @@
 func (s *Soak) addTarget(service id.Service) error {
 	s.targetsStarted++
 	name := id.Target(fmt.Sprintf("%s-%03d", service, s.targetsStarted))
-	t, err := platformtest.NewTarget(platformtest.TargetConfig{
+	cfg := platformtest.TargetConfig{
 		ID: name, Service: service, Slots: targetSlots, MeanDuration: targetServiceTime, OnArrive: s.checker.requestArrived, OnRun: s.checker.requestStarted, OnStatement: s.checker.statementMade,
 		Seed: s.cfg.Seed + uint64(s.targetsStarted),
-	})
+	}
+	if s.cfg.PlannedWork {
+		cfg.Slots, cfg.Duration, cfg.Padding, cfg.OnEnd = plannedSlots, drawDuration, paddingOf, s.checker.requestFinished
+	}
+	t, err := platformtest.NewTarget(cfg)
 	if err != nil {
 		return err
 	}
@@ -40,6 +45,9 @@
 	added := &target{Target: t, proxy: p, registration: platformtest.Registration{
 		ID: name, Service: service, Address: p.address(), FailureDomain: domains[s.targetsStarted%len(domains)], Slots: targetSlots, Born: uint64(s.targetsStarted),
 	}}
+	if s.cfg.PlannedWork {
+		added.registration.Address, added.registration.Slots = t.Address(), plannedSlots
+	}
 	s.store.Register(added.registration)
 	s.targets = append(s.targets, added)
 	return nil
@@ -101,5 +109,6 @@
 	clock.Sleep(r.soak.context, r.delay)
 	r.soak.store.Remove(r.target.registration.ID)
 	clock.Sleep(r.soak.context, removalDelay)
+	r.soak.checker.targetGone(r.target.registration.ID)
 	r.target.stop()
 }
