soak: planned work has routes with few requests, and stops at a start

Cause: the load of the planned work had six routes, while a deployment may have hundreds with a request a second or less; the configurations changed one route only; and the earliest stop after a start came at a random time, so that it hardly ever met the first requests of a process.

Change: a kind of request has sixty routes. Every second configuration shortens the timeouts, and each has a route that the one before had not. Some stops begin within 15 ms of the moment at which a daemon begins to listen, while callers connect to it. Some of the visits during a stop read a large response slowly. The fault log has a line for each excused request. Slow readers have a larger receive buffer, since a small one stalls the connection, so that they never read a response whole.

--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -138,6 +138,8 @@
 	// callers.
 	readyTimeout = 10 * time.Second
 	readyPoll    = 50 * time.Millisecond
+	// listenPoll is short, so that the time from the begin of listening is known.
+	listenPoll = 2 * time.Millisecond
 )
 
 // stop stops the process as the platform does in planned maintenance: SIGTERM,
@@ -198,6 +200,19 @@
 	return false
 }
 
+// awaitListening waits until the daemon listens for callers, at most readyTimeout.
+func (d *daemon) awaitListening(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		if conn, err := platformtest.Dial(ctx, d.callerAddress); err == nil {
+			conn.Close()
+			return
+		}
+		clock.Sleep(ctx, listenPoll)
+	}
+}
+
 // writeSettings writes the settings file with the addresses to listen on for
 // callers and peers. The variant, modulo 5, selects the value of SlowCaller. Since
 // all five values are longer than callerTimeout, a daemon can be made to reload
--- a/soak/kind.go
+++ b/soak/kind.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/briarrouter/briarrouter/id"
@@ -12,13 +14,17 @@
 // requestKind is a kind of request of the load during planned work.
 type requestKind struct {
 	route id.Route
-	path  string
+	// path begins the paths of the requests. If variants is not zero, that many routes
+	// follow it, each with few requests.
+	path     string
+	variants int
 	// service is empty for the route that each configuration assigns to another one.
 	service    id.Service
 	idempotent bool
 	// mean is how long most requests take on a target, roughly.
 	mean time.Duration
-	// deadline is how long callers wait, and timeout that of the route.
+	// deadline is how long callers wait. timeout is that of the route, less timeoutStep
+	// in every second configuration.
 	deadline, timeout time.Duration
 	// body and padding are the sizes of the requests' and the responses' bodies.
 	body, padding int
@@ -29,6 +35,7 @@
 const (
 	uploadPath = "/upload/"
 	exportPath = "/export/"
+	slipPath   = "/slip/"
 )
 
 // requestKinds has the idempotent kinds first; idempotentKinds is their number.
@@ -37,22 +44,28 @@
 	{route: "price", path: "/price/", service: "files", idempotent: true, mean: 100 * time.Millisecond, deadline: 2 * time.Second, timeout: 2500 * time.Millisecond, padding: 1500, weight: 20},
 	{route: "export", path: exportPath, service: "beds", idempotent: true, mean: 200 * time.Millisecond, deadline: 5 * time.Second, timeout: 4 * time.Second, padding: 600 << 10},
 	{route: "reserve", path: reservePath, service: "holds", mean: 260 * time.Millisecond, deadline: 5 * time.Second, timeout: 4 * time.Second, body: 1200, weight: 40},
-	{route: "upload", path: uploadPath, service: "files", mean: 310 * time.Millisecond, deadline: 5 * time.Second, timeout: 4 * time.Second, body: 60 << 10, weight: 10},
+	{route: "upload", path: uploadPath, service: "files", mean: 310 * time.Millisecond, deadline: 5 * time.Second, timeout: 4 * time.Second, body: 60 << 10, weight: 5},
 	{route: "moving", path: reassignedPath, mean: 260 * time.Millisecond, deadline: 5 * time.Second, timeout: 2500 * time.Millisecond, body: 400, weight: 5},
+	{route: "slip", path: slipPath, variants: 60, service: "files", mean: 310 * time.Millisecond, deadline: 5 * time.Second, timeout: 4 * time.Second, body: 2000, weight: 10},
 }
 
-const idempotentKinds = 3
+const (
+	idempotentKinds = 3
+	timeoutStep     = 500 * time.Millisecond
+)
 
 // findKind returns the kind of the requests to a path; nil if there is none.
 func findKind(path string) *requestKind {
 	for i := range requestKinds {
-		if requestKinds[i].path == path {
+		if strings.HasPrefix(path, requestKinds[i].path) {
 			return &requestKinds[i]
 		}
 	}
 	return nil
 }
 
+func (k *requestKind) variantPath(n int) string { return fmt.Sprintf("%s%d/", k.path, n) }
+
 // drawKind draws one of the kinds by their weights.
 func drawKind(random *rand.Rand) *requestKind {
 	total := 0
@@ -89,17 +102,28 @@
 func paddingOf(path string) int { return findKind(path).padding }
 
 // routes returns the routes of a configuration that assigns the route of reassignedPath
-// to a service.
+// to a service. Every configuration has a route that the one before had not.
 func (s *Soak) routes(next id.Service) []platformtest.Route {
 	var list []platformtest.Route
 	for _, k := range requestKinds {
 		if k.service == "" {
 			k.service = next
 		}
-		list = append(list, platformtest.Route{
+		if s.published%2 == 0 {
+			k.timeout -= timeoutStep
+		}
+		r := platformtest.Route{
 			Name: k.route, Host: callerHost, Path: k.path, Idempotent: k.idempotent, Service: k.service,
 			Timeout: k.timeout, Objective: 1500 * time.Millisecond, Attempts: 2,
-		})
+		}
+		list = append(list, r)
+		for n := range k.variants {
+			r.Name, r.Path = id.Route(fmt.Sprintf("%s-%d", k.route, n)), k.variantPath(n)
+			list = append(list, r)
+		}
 	}
-	return list
+	added := list[0]
+	added.Name = id.Route(fmt.Sprintf("added-%d", s.published))
+	added.Path = fmt.Sprintf("/added/%d/", s.published)
+	return append(list, added)
 }
--- a/soak/loss.go
+++ b/soak/loss.go
@@ -52,10 +52,12 @@
 	counts LossCounts
 	// gone holds when targets ended.
 	gone map[id.Target]time.Time
+	// logf receives a line for each excused request.
+	logf func(format string, args ...any)
 }
 
-func newLossChecker() *lossChecker {
-	return &lossChecker{gone: make(map[id.Target]time.Time), counts: LossCounts{Excused: make(map[string]int)}}
+func newLossChecker(logf func(string, ...any)) *lossChecker {
+	return &lossChecker{logf: logf, gone: make(map[id.Target]time.Time), counts: LossCounts{Excused: make(map[string]int)}}
 }
 
 // targetGone handles the end of a target that has left.
@@ -115,6 +117,7 @@
 	}
 	if excuse != "" {
 		counts.Excused[excuse]++
+		c.losses.logf("excused, %s: %s", excuse, r.describe(call, response, written, err, now, stop))
 		return
 	}
 	*counter++
@@ -132,7 +135,7 @@
 	switch {
 	case took >= call.Timeout:
 		return callerGaveUp
-	case took >= findKind(call.Path).timeout:
+	case took >= findKind(call.Path).timeout-timeoutStep:
 		return "timeout of the route reached"
 	case r.behind && !r.arrived:
 		return "not passed on behind another request"
--- a/soak/plannedcaller.go
+++ b/soak/plannedcaller.go
@@ -38,14 +38,16 @@
 	{keepConn: true, staleList: true, rare: 4},
 	{pipelined: 4, keepConn: true, staleList: true},
 	{path: uploadPath, staleList: true, bodyTime: 3500 * time.Millisecond, rare: 3},
-	{path: exportPath, staleList: true, readTime: 1500 * time.Millisecond, rare: 3},
+	{path: exportPath, staleList: true, readTime: slowReadTime, rare: 3},
 	{newConn: true},
 }
 
 const (
 	staleFactor = 3
+	// slowReadTime bounds the time in which a slow caller reads a response.
+	slowReadTime = 4 * time.Second
 	// slowReadBuffer is the receive buffer of callers that read slowly.
-	slowReadBuffer = 4 << 10
+	slowReadBuffer = 64 << 10
 	readPieceSize  = 4 << 10
 )
 
@@ -151,6 +153,9 @@
 	call := platformtest.Call{
 		Request: id.Request(fmt.Sprintf("%016x", c.random.Uint64())), Host: callerHost, Path: k.path, Idempotent: k.idempotent, Timeout: k.deadline,
 	}
+	if k.variants > 0 {
+		call.Path = k.variantPath(c.random.IntN(k.variants))
+	}
 	if k.body > 0 {
 		call.Body, call.Chunked = make([]byte, k.body+c.random.IntN(k.body)), c.random.IntN(2) == 0
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -123,7 +123,7 @@
 	s.started = time.Now()
 	s.checker = newChecker(s.started, s.faults)
 	if s.cfg.PlannedWork {
-		s.checker.losses = newLossChecker()
+		s.checker.losses = newLossChecker(s.logf)
 	}
 	if err := s.setUp(); err != nil {
 		return Report{}, err
--- a/soak/stopseries.go
+++ b/soak/stopseries.go
@@ -60,9 +60,12 @@
 	for n := 0; time.Now().Before(until) && s.context.Err() == nil; n++ {
 		d := r.daemons[n%len(r.daemons)]
 		r.stop(d)
-		if r.random.IntN(4) == 0 {
-			clock.Sleep(s.context, r.randomDuration(maxEarly))
+		switch early := r.randomDuration(maxEarly); r.random.IntN(6) {
+		case 0:
+			clock.Sleep(s.context, early)
 			r.stop(d)
+		case 1:
+			r.stopAtFirstRequests(d, early/firstRequestsFactor)
 		}
 		if !d.awaitReady(s.context) && s.context.Err() == nil {
 			s.checker.recordViolation(Served, "daemon %s did not become ready within %s after a planned stop", d.name, readyTimeout)
@@ -99,6 +102,38 @@
 	}
 }
 
+const (
+	// firstVisits is the number of callers that connect as soon as a daemon listens.
+	firstVisits = 8
+	// firstRequestsFactor divides maxEarly for a stop that begins when a daemon has just
+	// begun to listen.
+	firstRequestsFactor = 100
+)
+
+// stopAtFirstRequests stops a daemon shortly after it has begun to listen, and starts it
+// again.
+func (r *stopSeries) stopAtFirstRequests(d *daemon, delay time.Duration) {
+	s := r.soak
+	r.stops++
+	var group conc.WaitGroup
+	for range firstVisits {
+		c := &plannedCaller{soak: s, random: rand.New(rand.NewPCG(r.random.Uint64(), 1)), habit: habit{path: reservePath}}
+		v := &visit{caller: c, daemon: d, retries: true}
+		group.Go(v.run)
+	}
+	d.awaitListening(s.context)
+	clock.Sleep(s.context, delay)
+	s.logf("SIGTERM to %s, which has just begun to listen", d.name)
+	d.stop(s.context)
+	group.Wait()
+	if s.context.Err() != nil {
+		return
+	}
+	if err := d.start(); err != nil {
+		s.logf("%v", err)
+	}
+}
+
 // companion is planned work that happens during a stop.
 type companion struct {
 	soak  *Soak
@@ -161,7 +196,7 @@
 
 const (
 	// visitsPerStop is the number of callers that visit a daemon during a stop.
-	visitsPerStop = 60
+	visitsPerStop = 80
 	// closeDelay is when a daemon closes its listener, from SIGTERM.
 	closeDelay = 4 * time.Second
 	// maxVisitIdle is the exclusive limit of the time between connecting and sending.
@@ -173,21 +208,26 @@
 	caller      *plannedCaller
 	daemon      *daemon
 	delay, idle time.Duration
+	// retries makes the caller connect again until it succeeds, within readyTimeout.
+	retries bool
 }
 
-// drawVisit draws a visit: around the close of the listener, at any time of the stop, or
-// at the same time as others that fill the queues of the targets.
+// drawVisit draws a visit: around the close of the listener, at any time of the stop, at
+// the same time as others that fill the queues of the targets, or one that reads slowly.
 func (r *stopSeries) drawVisit(d *daemon) *visit {
 	s := r.soak
 	c := &plannedCaller{soak: s, random: rand.New(rand.NewPCG(r.random.Uint64(), 1))}
 	v := &visit{caller: c, daemon: d, delay: stopLead + closeDelay - 150*time.Millisecond + r.randomDuration(300*time.Millisecond), idle: r.randomDuration(maxVisitIdle)}
-	switch r.random.IntN(3) {
+	switch r.random.IntN(4) {
 	case 0:
 		v.delay = stopLead + r.randomDuration(stopGrace)
-		c.habit.path = []string{reservePath, uploadPath, reassignedPath}[r.random.IntN(3)]
+		c.habit.path = []string{reservePath, slipPath, reassignedPath}[r.random.IntN(3)]
 	case 1:
 		v.delay = stopLead + time.Duration(r.stops%stopGraceSeconds)*time.Second - 50*time.Millisecond
 		c.habit.path = reservePath
+	case 2:
+		v.delay = stopLead + r.randomDuration(stopGrace/2)
+		c.habit = habit{path: exportPath, readTime: slowReadTime}
 	}
 	return v
 }
@@ -198,8 +238,11 @@
 func (v *visit) run() {
 	ctx := v.caller.soak.context
 	clock.Sleep(ctx, v.delay)
-	if ctx.Err() != nil || !v.caller.connect(ctx, v.daemon) {
-		return
+	for until := time.Now().Add(readyTimeout); !v.caller.connect(ctx, v.daemon); {
+		if !v.retries || ctx.Err() != nil || time.Now().After(until) {
+			return
+		}
+		clock.Sleep(ctx, listenPoll)
 	}
 	defer v.caller.closeConn()
 	clock.Sleep(ctx, v.idle)
