--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -28,8 +28,11 @@
 	resolveAddress, readyAddress, operatorAddress id.Address
 	// These proxies forward to the addresses for callers and for peers.
 	callerProxy, peerProxy *proxy
-	settingsPath           string
-	log                    *os.File
+	// callerAddress is the address that callers are given: that of callerProxy, or the
+	// daemon's own while no faults are injected.
+	callerAddress id.Address
+	settingsPath  string
+	log           *os.File
 
 	mu sync.Mutex
 	// process is the running process; nil if there is none.
@@ -55,6 +58,13 @@
 	stopRequestedAt time.Time
 }
 
+// stopTime returns when a planned stop began; zero before that.
+func (p *daemonProcess) stopTime() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stopRequestedAt
+}
+
 // stoppedFaultFree reports whether a planned stop was requested and no fault can
 // have affected it.
 func (p *daemonProcess) stoppedFaultFree(f *faultTracker) bool {
@@ -79,6 +89,10 @@
 	p := &daemonProcess{daemon: d, cmd: cmd, exited: make(chan struct{})}
 	d.process = p
 	d.soak.group.Go(p.run)
+	if share := d.soak.cfg.RunShare; share > 0 {
+		t := &throttle{process: p, share: share}
+		d.soak.group.Go(t.run)
+	}
 	return nil
 }
 
@@ -124,6 +138,8 @@
 	// callers.
 	readyTimeout = 10 * time.Second
 	readyPoll    = 50 * time.Millisecond
+	// listenPoll is short, so that the time from the begin of listening is known.
+	listenPoll = 2 * time.Millisecond
 )
 
 // stop stops the process as the platform does in planned maintenance: SIGTERM,
@@ -184,6 +200,19 @@
 	return false
 }
 
+// awaitListening waits until the daemon listens for callers, at most readyTimeout.
+func (d *daemon) awaitListening(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		if conn, err := platformtest.Dial(ctx, d.callerAddress); err == nil {
+			conn.Close()
+			return
+		}
+		clock.Sleep(ctx, listenPoll)
+	}
+}
+
 // writeSettings writes the settings file with the addresses to listen on for
 // callers and peers. The variant, modulo 5, selects the value of SlowCaller. Since
 // all five values are longer than callerTimeout, a daemon can be made to reload
@@ -221,7 +250,7 @@
 Probe = 500ms
 Join = 1s
 SlowCaller = %ds
-`, d.name, d.domain, callers, peers, d.operatorAddress, d.callerProxy.address(), d.peerProxy.address(), d.resolveAddress, d.readyAddress,
+`, d.name, d.domain, callers, peers, d.operatorAddress, d.callerAddress, d.peerProxy.address(), d.resolveAddress, d.readyAddress,
 		strings.Join(list, ","), d.soak.storeProxy.address(), 10+variant%5)
 	// The rename makes the replacement atomic: the daemon never reads a partial file.
 	next := d.settingsPath + ".next"
@@ -241,6 +270,10 @@
 	if d.callerProxy, err = newProxy(listen[0]); err != nil {
 		return nil, err
 	}
+	d.callerAddress = d.callerProxy.address()
+	if s.cfg.PlannedWork {
+		d.callerAddress = listen[0]
+	}
 	if d.peerProxy, err = newProxy(listen[1]); err != nil {
 		return nil, err
 	}
