--- a/command/soak_test.go
+++ b/command/soak_test.go
@@ -11,8 +11,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestSoakCases parses valid and invalid lines of a file of cases, and the file
-// that CI runs.
+// TestSoakCases parses valid and invalid lines of a file of cases, and the files
+// of the project.
 func TestSoakCases(t *testing.T) {
 	var b strings.Builder
 	path := filepath.Join(t.TempDir(), "cases")
@@ -25,8 +25,10 @@
 		}
 		fmt.Fprintf(&b, "%q\n  -> %s\n", line, text)
 	}
-	list, err := (&soakCommand{Cases: "../soak/testdata/cases.txt"}).cases()
-	require.NoError(t, err)
-	require.NotEmpty(t, list)
+	for _, name := range []string{"cases.txt", "stopcases.txt"} {
+		list, err := (&soakCommand{Cases: filepath.Join("../soak/testdata", name)}).cases()
+		require.NoError(t, err)
+		require.NotEmpty(t, list)
+	}
 	goldie.New(t).Assert(t, "soakcases", []byte(b.String()))
 }
