caller: the answers after the cut of a stop get all of the time before its end

Callers saw: a daemon that gets little processor time closed connections by force before its own answers to cancelled requests were written. A request that only waited, which had not run, ended without an answer. Found by the reviewer by an injected delay of 200 ms. Cause: half of the 300 ms between the cut and the end of a stop was kept for the other services. They have nothing to wait for by then, and there is half a second more until the kill. Change: the answers get the 300 ms. Evidence: script stopstarved (an answer 250 ms after the cancellation): before, the connection closed without an answer; now 503.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -314,7 +314,7 @@
 		s.stopRecord.addCutOff(s.states().inProgress())
 		s.logStop(s.log.Warn(), "stop timeout expired; requests in progress are cut off")
 		s.cancelRequests()
-		last, cancel := context.WithTimeout(context.Background(), lastResponseTime/2)
+		last, cancel := context.WithTimeout(context.Background(), lastResponseTime)
 		defer cancel()
 		if !s.awaitConnections(last) {
 			s.logStop(s.log.Warn(), "connections are closed by force")
@@ -327,7 +327,8 @@
 }
 
 // lastResponseTime is how long before the end of a stop the requests in progress are
-// cancelled. Half of it is for their responses, half for the stop of the other services.
+// cancelled, for their responses. The other services, which then have nothing to wait for,
+// stop after it.
 const lastResponseTime = 300 * time.Millisecond
 
 // cancelRequests cancels the requests in progress. Those that wait for a target are
--- a/caller/connection_test.go
+++ b/caller/connection_test.go
@@ -160,7 +160,8 @@
 
 // Handle responds after the duration that the path gives, as if a target had taken
 // it. The response to /cut is truncated, the one to /stream has no length, the body of
-// the one to /broken fails at once, and /deaf does not end when it is cancelled.
+// the one to /broken fails at once, /deaf does not end when it is cancelled, and /starved
+// is rejected 250 ms after that.
 func (s *connectionScript) Handle(ctx context.Context, req *work.Request) work.Response {
 	rest := ""
 	if req.Body.Rest != nil {
@@ -197,6 +198,10 @@
 		response.Size, response.Rest = -1, io.NopCloser(strings.NewReader(" and more"))
 	case "/deaf":
 		time.Sleep(time.Minute)
+	case "/starved":
+		<-ctx.Done()
+		time.Sleep(250 * time.Millisecond)
+		return work.Refuse(outcome.NotRun, http.StatusServiceUnavailable, work.Leaving)
 	case "/broken":
 		response.Size, response.Rest = -1, io.NopCloser(failingReader{})
 	}
