caller: a stop also sees pipelined requests that are still in the socket

Found by the reviewer. Callers saw: if the receiving task is slow, a pipelined request that has arrived is dropped behind the answer that closes its connection, as before. Besides, an idle close that comes while the receive buffer is full could be lost, so that the connection lasted until the cut. Cause: only bytes that the receiving task had stored counted as arrived; the deadline with which the idle close wakes the task was replaced at the end of a pause. Change: bytes in the socket count too; the idle close is repeated after a pause.

--- a/caller/endings_test.go
+++ b/caller/endings_test.go
@@ -254,7 +254,10 @@
 		e.limits.Store(&configuration.Limits{Body: 4})
 		e.body = "01234567"
 	}},
-	{name: "limit of bodies lowered", kind: "body", happen: func(e *ending) { e.limits.Store(&configuration.Limits{Body: 4}) }},
+	{name: "limit of bodies lowered", kind: "body", happen: func(e *ending) {
+		e.eventually("a body is read", func() bool { return e.server.states().inProgress() == 1 })
+		e.limits.Store(&configuration.Limits{Body: 4})
+	}},
 }
 
 // ending is one connection of one server.
--- a/caller/receivebuffer.go
+++ b/caller/receivebuffer.go
@@ -269,6 +269,8 @@
 		err = b.conn.SetReadDeadline(b.deadline)
 	}
 	b.end(err)
+	// closeIdle may have been called during the pause.
+	b.interruptIdle()
 }
 
 var errDisconnected = errors.New("caller has closed the connection")
@@ -423,11 +425,12 @@
 	return err == nil && readable
 }
 
-// hasUnread reports whether bytes have been received that were not read.
+// hasUnread reports whether bytes, or the end of the connection, have arrived that were
+// not read.
 func (b *receiveBuffer) hasUnread() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.data) > 0
+	return len(b.data) > 0 || b.isReadable()
 }
 
 // discardUntilClosed discards received bytes until the connection ends or its
