--- a/soak/stopseries.go
+++ b/soak/stopseries.go
@@ -92,8 +92,14 @@
 	}
 	clock.Sleep(s.context, stopLead)
 	s.logf("SIGTERM to %s", d.name)
+	r.restart(d, &group)
+}
+
+// restart stops a daemon and starts it again, once what happens during the stop has ended.
+func (r *stopSeries) restart(d *daemon, during *conc.WaitGroup) {
+	s := r.soak
 	d.stop(s.context)
-	group.Wait()
+	during.Wait()
 	if s.context.Err() != nil {
 		return
 	}
@@ -124,14 +130,7 @@
 	d.awaitListening(s.context)
 	clock.Sleep(s.context, delay)
 	s.logf("SIGTERM to %s, which has just begun to listen", d.name)
-	d.stop(s.context)
-	group.Wait()
-	if s.context.Err() != nil {
-		return
-	}
-	if err := d.start(); err != nil {
-		s.logf("%v", err)
-	}
+	r.restart(d, &group)
 }
 
 // companion is planned work that happens during a stop.
