review: idle lookup connections keep all other callers out

Cause: the addresses for lookups take 128 connections, and kept connections without a request hold all of that room after other daemons were lost.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -11,6 +11,7 @@
 // scenarios has the scenario of each script.
 var scenarios = map[string]func(rec *record, st *store, dir string, trouble bool){
 	"late-answer": lateAnswer,
+	"lookup":      lookup,
 }
 
 // maxRun is less than the 120 s that a script may take.
