review: slow request bodies keep all other callers out

Cause: nothing bounds the time in which a request's body arrives, and a connection that receives a body is never given up for one that waits.

--- a/review/standins-2/daemon.go
+++ b/review/standins-2/daemon.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -63,10 +65,23 @@
 	maxFds   = 4100
 )
 
+// nextPort is the port that freeAddress tries next. The ports are below those that the
+// operating system gives to outgoing connections, which might take a free one before its
+// daemon listens.
+var nextPort = 12_000 + rand.N(10_000)
+
+// freeAddress returns a loopback address on which nobody listens.
 func freeAddress() string {
-	l := listen()
-	defer l.Close()
-	return l.Addr().String()
+	for range 1000 {
+		nextPort++
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
+	}
+	unable("no free port below %d", nextPort)
+	return ""
 }
 
 // newDaemons writes the settings of n daemons, filled in like the template of the deploy
--- a/review/standins-2/lookups.go
+++ b/review/standins-2/lookups.go
@@ -11,25 +11,12 @@
 )
 
 const (
-	// settleWindow and minClients are the bounds of RECOVER: a machine that says it is ready
-	// takes no new connection for so long, while so many clients or more try.
-	settleWindow = 3 * time.Second
-	minClients   = 7
 	// lookupTimeout is how long clients allow a daemon for a lookup, lookupTTL the ttlS of
 	// its answers.
 	lookupTimeout = time.Second
 	lookupTTL     = 2 * time.Second
 )
 
-// newConnection is a connection that a client made for a lookup.
-type newConnection struct {
-	client int
-	daemon *daemon
-	at     time.Time
-	// answered is set if the daemon answered in time.
-	answered bool
-}
-
 // lookups plays clients that keep the connection of their lookups. A part of the daemons
 // is lost for a while.
 type lookups struct {
@@ -181,9 +168,9 @@
 			continue
 		}
 		ready := !slices.Contains(s.ready[d], false)
-		span, clients, from := s.longestSilence(d)
-		s.rec.line("%s was not lost; ready at each check: %t; longest span without an answer on a new connection: %.1f s from second %.1f on, in which %d clients tried", d.name, ready, span.Seconds(), from.Sub(s.begun).Seconds(), clients)
-		if ready && span > settleWindow && clients >= minClients {
+		longest := longestSilence(s.connections, d, lookupTimeout)
+		s.rec.line("%s was not lost; ready at each check: %t; longest span without an answer on a new connection: %.1f s, in which %d clients tried", d.name, ready, longest.span.Seconds(), longest.clients)
+		if ready && longest.breaksRule() {
 			broken++
 		}
 	}
@@ -194,29 +181,3 @@
 	s.rec.line("%d clients were without an answer at some time, the worst for %.1f s in all", len(s.without), longest.Seconds())
 	s.rec.verdict(broken > 0, "%d daemons that were ready, and were not lost, took no new connection for more than %s while %d clients or more tried", broken, settleWindow, minClients)
 }
-
-// longestSilence returns the longest span in which a daemon answered on no new connection,
-// up to the end of the time that the last one in it was allowed, how many clients tried in
-// it, and its begin.
-func (s *lookups) longestSilence(d *daemon) (longest time.Duration, clients int, begin time.Time) {
-	begin = s.begun
-	var from, to time.Time
-	tried := make(map[int]bool)
-	for _, n := range s.connections {
-		switch {
-		case n.daemon != d:
-			continue
-		case n.answered:
-			clear(tried)
-			continue
-		case len(tried) == 0:
-			from = n.at
-		}
-		tried[n.client] = true
-		to = n.at.Add(lookupTimeout)
-		if span := to.Sub(from); span > longest {
-			longest, clients, begin = span, len(tried), from
-		}
-	}
-	return longest, clients, begin
-}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -12,6 +12,7 @@
 var scenarios = map[string]func(rec *record, st *store, dir string, trouble bool){
 	"late-answer": lateAnswer,
 	"lookup":      lookup,
+	"slow-body":   slowBody,
 }
 
 // maxRun is less than the 120 s that a script may take.
