--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -12,6 +12,7 @@
 var scenarios = map[string]func(rec *record, st *store, dir string, trouble bool){
 	"late-answer": lateAnswer,
 	"lookup":      lookup,
+	"added-route": addedRoute,
 	"slow-body":   slowBody,
 }
 
