review: a late answer without an id reaches another request's client

Cause: exchange accepts an unsuccessful response without an id for the request in progress, also where it follows the answer to an earlier one.

--- a/review/standins-2/lateanswer.go
+++ b/review/standins-2/lateanswer.go
@@ -18,16 +18,24 @@
 	faultyUntil  = 8 * time.Second
 )
 
-// additionalAnswer is a whole answer in the form in which an upstream sheds a request. It
-// belongs to no request.
-const additionalAnswer = "HTTP/1.1 503 Service Unavailable\r\nBriarrouter-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+// foreignBody is the body of a whole answer that belongs to no request.
+const foreignBody = "belongs to no request\n"
+
+// Additional answers, which carry no id: one in the form in which an upstream sheds a
+// request, and one that reports a failure.
+var (
+	shedAnswer    = "HTTP/1.1 503 Service Unavailable\r\nBriarrouter-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	failureAnswer = fmt.Sprintf("HTTP/1.1 500 Internal Server Error\r\nContent-Length: %d\r\n\r\n%s", len(foreignBody), foreignBody)
+)
 
 // lateAnswers plays upstreams of which some send additional bytes after a complete answer,
 // which arrive late, where the answer to the next request of the connection is expected.
 type lateAnswers struct {
 	rec     *record
 	trouble bool
-	begun   time.Time
+	// additional is the answer that faulty upstreams send besides.
+	additional string
+	begun      time.Time
 	// faulty is the set of upstreams that send additional bytes.
 	faulty map[string]bool
 
@@ -39,13 +47,21 @@
 	answers map[string]reply
 }
 
-func lateAnswer(rec *record, st *store, dir string, trouble bool) {
+func lateShedAnswer(rec *record, st *store, dir string, trouble bool) {
+	playLateAnswers(rec, st, dir, trouble, shedAnswer).judgeRuns()
+}
+
+func lateFailureAnswer(rec *record, st *store, dir string, trouble bool) {
+	playLateAnswers(rec, st, dir, trouble, failureAnswer).judgeAnswers()
+}
+
+func playLateAnswers(rec *record, st *store, dir string, trouble bool, additional string) *lateAnswers {
 	const (
 		daemons, upstreams, clients = 3, 8, 20
 		length                      = 11 * time.Second
 	)
 	s := &lateAnswers{
-		rec: rec, trouble: trouble, faulty: make(map[string]bool), random: rand.New(rand.NewPCG(1, 1)),
+		rec: rec, trouble: trouble, additional: additional, faulty: make(map[string]bool), random: rand.New(rand.NewPCG(1, 1)),
 		runs: make(map[string][]string), answers: make(map[string]reply),
 	}
 	for i := range upstreams {
@@ -65,7 +81,7 @@
 	group.Wait()
 	// What is still running ends.
 	time.Sleep(time.Second)
-	s.judge()
+	return s
 }
 
 // handle runs a request at an upstream.
@@ -81,7 +97,7 @@
 	time.Sleep(20*time.Millisecond + rand.N(20*time.Millisecond))
 	c.answer(a, "done "+a.attempt)
 	if s.sendsMore(u) {
-		c.late = additionalAnswer
+		c.late = s.additional
 	}
 	return true
 }
@@ -125,9 +141,9 @@
 	}
 }
 
-// judge checks TWICE and REFUSED: each request was sent once and may run once, and one
+// judgeRuns checks TWICE and REFUSED: each request was sent once and may run once, and one
 // that was answered with a promise may not have run.
-func (s *lateAnswers) judge() {
+func (s *lateAnswers) judgeRuns() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	twice, refused, served := 0, 0, 0
@@ -146,9 +162,34 @@
 			s.rec.line("REFUSED: %s ran at %v; its client got: %s", attempt, ran, answer)
 		}
 	}
+	s.requireServed(served)
+	s.rec.verdict(twice+refused > 0, "%d requests that are not idempotent ran twice, %d had run and were refused with a promise", twice, refused)
+}
+
+// judgeAnswers checks MIXED: no client may get an answer that belongs to no request of its
+// own.
+func (s *lateAnswers) judgeAnswers() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	foreign, served := 0, 0
+	for attempt, answer := range s.answers {
+		s.rec.line("%s ran at %v", attempt, s.runs[attempt])
+		if answer.status == http.StatusOK {
+			served++
+		}
+		if answer.body == foreignBody {
+			foreign++
+			s.rec.line("MIXED: %s ran at %v and was answered there with success; its client got the additional answer: %s: %q", attempt, s.runs[attempt], answer, answer.body)
+		}
+	}
+	s.requireServed(served)
+	s.rec.verdict(foreign > 0, "%d clients got an answer that belongs to no request", foreign)
+}
+
+// requireServed ends the script as one that could not run unless most requests were served.
+func (s *lateAnswers) requireServed(served int) {
 	s.rec.line("%d requests, %d served", len(s.answers), served)
 	if served < len(s.answers)/2 {
 		unable("only %d of %d requests were served", served, len(s.answers))
 	}
-	s.rec.verdict(twice+refused > 0, "%d requests that are not idempotent ran twice, %d had run and were refused with a promise", twice, refused)
 }
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -10,10 +10,11 @@
 
 // scenarios has the scenario of each script.
 var scenarios = map[string]func(rec *record, st *store, dir string, trouble bool){
-	"late-answer": lateAnswer,
-	"lookup":      lookup,
-	"added-route": addedRoute,
-	"slow-body":   slowBody,
+	"late-shed":    lateShedAnswer,
+	"late-failure": lateFailureAnswer,
+	"lookup":       lookup,
+	"added-route":  addedRoute,
+	"slow-body":    slowBody,
 }
 
 // maxRun is less than the 120 s that a script may take.
