--- a/review/standins-2/slowbodies.go
+++ b/review/standins-2/slowbodies.go
@@ -72,6 +72,9 @@
 		}
 	}
 	group.Wait()
+	if trouble && s.sent < crowd*9/10 {
+		unable("only %d of %d clients could connect", s.sent, crowd)
+	}
 	s.judge()
 }
 
