--- a/crowd/kinds_test.go
+++ b/crowd/kinds_test.go
@@ -34,7 +34,7 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			d := startDaemon(t, descriptorLimit)
+			d := startDaemon(t, config{})
 			run(func(i int) { exchange(d.callers, sectionOf(i, c.line)) })
 			d.requireWithinLimits()
 		})
@@ -53,7 +53,7 @@
 		{"operators", "/dump", func(d *daemon) id.Address { return d.operator }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			d := startDaemon(t, descriptorLimit)
+			d := startDaemon(t, config{})
 			end := time.Now().Add(crowdTime)
 			run(func(int) {
 				for time.Now().Before(end) {
@@ -85,7 +85,7 @@
 // TestResponseHeaders guards against parsed header sections of targets' responses that are
 // held without a bound.
 func TestResponseHeaders(t *testing.T) {
-	d := startDaemon(t, descriptorLimit)
+	d := startDaemon(t, config{})
 	run(func(i int) {
 		exchange(d.callers, fmt.Appendf(nil, "GET /lines/ HTTP/1.1\r\nHost: %s\r\nBriarrouter-Attempt-Id: c-%d\r\n\r\n", hostName, i))
 	})
@@ -95,7 +95,7 @@
 // TestPipelinedHeaderSections guards against requests that are received or parsed ahead
 // without a bound. Each client sends requests without an end and reads no response.
 func TestPipelinedHeaderSections(t *testing.T) {
-	d := startDaemon(t, descriptorLimit)
+	d := startDaemon(t, config{})
 	end := time.Now().Add(crowdTime)
 	run(func(i int) {
 		for time.Now().Before(end) {
@@ -123,7 +123,7 @@
 // their timeout. Each client sends nearly all of a header section and then a line at a
 // time.
 func TestSlowHeaderSections(t *testing.T) {
-	d := startDaemon(t, descriptorLimit)
+	d := startDaemon(t, config{})
 	end := time.Now().Add(crowdTime)
 	run(func(i int) {
 		for time.Now().Before(end) {
@@ -156,7 +156,7 @@
 // TestSilentConnections guards against connections without a request that take the file
 // descriptors and the memory of the process.
 func TestSilentConnections(t *testing.T) {
-	d := startDaemon(t, 256)
+	d := startDaemon(t, config{descriptors: 256})
 	end := time.Now().Add(crowdTime)
 	run(func(int) {
 		for time.Now().Before(end) {
@@ -175,7 +175,7 @@
 // TestChunks guards against trailers, chunk extensions and lists of trailers that are
 // kept in parsed form.
 func TestChunks(t *testing.T) {
-	d := startDaemon(t, descriptorLimit)
+	d := startDaemon(t, config{})
 	run(func(i int) {
 		request := requestHead(http.MethodPost, i)
 		request = append(request, "Transfer-Encoding: chunked\r\n"...)
@@ -197,7 +197,7 @@
 // TestSmallUploads guards against the buffers of many uploads, some with a length and some
 // in chunks, whose last byte comes late.
 func TestSmallUploads(t *testing.T) {
-	d := startDaemon(t, descriptorLimit)
+	d := startDaemon(t, config{})
 	run(func(i int) {
 		conn, err := net.DialTimeout("tcp", string(d.callers), crowdTime)
 		if err != nil {
@@ -225,7 +225,7 @@
 // TestLongIdentifiers guards against long ids of requests, hosts and paths that are kept
 // after the request, in the log that nobody reads or with the connection to a target.
 func TestLongIdentifiers(t *testing.T) {
-	d := startWithLog(t, descriptorLimit, false)
+	d := startDaemon(t, config{unreadLog: true})
 	run(func(i int) {
 		for n := range 20 {
 			exchange(d.callers, fmt.Appendf(nil, "GET /quick/%s HTTP/1.1\r\nHost: %s\r\nBriarrouter-Attempt-Id: c-%d-%d-%s\r\n\r\n",
@@ -238,7 +238,7 @@
 // TestSlowReaders guards against responses that are held without a bound for clients that
 // read them slowly.
 func TestSlowReaders(t *testing.T) {
-	d := startDaemon(t, descriptorLimit)
+	d := startDaemon(t, config{})
 	end := time.Now().Add(crowdTime)
 	run(func(i int) {
 		conn, err := net.DialTimeout("tcp", string(d.callers), crowdTime)
@@ -261,7 +261,7 @@
 // TestSlowTargets guards against requests that are held without a bound for targets that
 // do not read them.
 func TestSlowTargets(t *testing.T) {
-	d := startDaemon(t, descriptorLimit)
+	d := startDaemon(t, config{})
 	run(func(i int) {
 		request := fmt.Appendf(nil, "POST /unread/ HTTP/1.1\r\nHost: %s\r\nBriarrouter-Attempt-Id: c-%d\r\nContent-Length: 200000\r\n\r\n", hostName, i)
 		exchange(d.callers, append(request, bytes.Repeat([]byte("x"), 200_000)...))
