message: connections that wait for their clients make room for others

Kept lookup connections without a request held all places; the same happens with half-sent requests, requests whose body never comes and responses that nobody reads, at the addresses for lookups and operators. At the address for peers such connections had no bound and took descriptors without end.

Cause: limitedListener waited for a place while connections that waited for their clients held all of them. net/http reads the rest of a body that the handler left, without a timeout, before and after the response, and writes without one. The server for peers had no bound and no idle timeout, and a message body had no deadline.

Change: while all places are taken and a connection waits, the connection that has waited longest for its client is closed, unless bytes of it have arrived. Bodies are not read where none is expected and have a deadline elsewhere. The address for peers has a bound. The operating system's buffers of these connections are bounded if Memory is stated. Package socket holds what callers' connections and these share.

--- a/caller/endings_test.go
+++ b/caller/endings_test.go
@@ -23,6 +23,7 @@
 	"github.com/briarrouter/briarrouter/outcome"
 	"github.com/briarrouter/briarrouter/roster"
 	"github.com/briarrouter/briarrouter/settings"
+	"github.com/briarrouter/briarrouter/socket"
 	"github.com/briarrouter/briarrouter/unit"
 	"github.com/briarrouter/briarrouter/work"
 	"github.com/rs/zerolog"
@@ -650,7 +651,7 @@
 		return
 	}
 	closed := false
-	if raw.Control(func(fd uintptr) { closed = isClosedByPeer(int(fd)) }) == nil && !closed {
+	if raw.Control(func(fd uintptr) { closed = socket.IsClosedByPeer(int(fd)) }) == nil && !closed {
 		e.send(path)
 	}
 }
--- a/caller/idle.go
+++ b/caller/idle.go
@@ -2,8 +2,9 @@
 
 import (
 	"errors"
-	"syscall"
 	"time"
+
+	"github.com/briarrouter/briarrouter/socket"
 )
 
 var errStopped = errors.New("daemon is stopping")
@@ -47,26 +48,10 @@
 	}
 }
 
-// isReadable reports whether bytes, or the end of the connection, have arrived that were
-// not received.
-func (b *receiveBuffer) isReadable() bool {
-	conn, ok := b.conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	readable := false
-	err = raw.Control(func(fd uintptr) { readable = isReadable(int(fd)) })
-	return err == nil && readable
-}
-
 // hasUnread reports whether bytes, or the end of the connection, have arrived that were
 // not read.
 func (b *receiveBuffer) hasUnread() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.data) > 0 || b.isReadable()
+	return len(b.data) > 0 || socket.HasInput(b.conn)
 }
--- a/caller/receivebuffer.go
+++ b/caller/receivebuffer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/briarrouter/briarrouter/memory"
+	"github.com/briarrouter/briarrouter/socket"
 	"github.com/briarrouter/briarrouter/unit"
 	"github.com/rs/zerolog"
 )
@@ -149,7 +150,7 @@
 		return 0
 	}
 	n := 0
-	if raw.Control(func(fd uintptr) { n = unreadBytes(int(fd)) }) != nil {
+	if raw.Control(func(fd uintptr) { n = socket.Unread(int(fd)) }) != nil {
 		return 0
 	}
 	return unit.Bytes(n)
@@ -255,7 +256,7 @@
 		err = raw.Read(func(fd uintptr) bool {
 			b.mu.Lock()
 			defer b.mu.Unlock()
-			ended = b.err != nil || isClosedByPeer(int(fd))
+			ended = b.err != nil || socket.IsClosedByPeer(int(fd))
 			return ended || b.hasSpace()
 		})
 		b.mu.Lock()
@@ -310,7 +311,7 @@
 		switch {
 		case !b.deadline.IsZero() && !time.Now().Before(b.deadline):
 			b.expired, err = err, nil
-		case b.endsIdle() && !b.isReadable():
+		case b.endsIdle() && !socket.HasInput(b.conn):
 			err = errStopped
 		default:
 			// The other task has set another deadline since the read failed, or bytes have
--- a/caller/receivebuffer_test.go
+++ b/caller/receivebuffer_test.go
@@ -6,8 +6,8 @@
 	"testing"
 
 	"github.com/briarrouter/briarrouter/memory"
+	"github.com/briarrouter/briarrouter/socket"
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sys/unix"
 )
 
 // TestBytesInSocketAreUnread guards against a stop that drops a pipelined request because
@@ -28,6 +28,6 @@
 	require.NoError(t, err)
 	raw, err := receiver.(*net.TCPConn).SyscallConn()
 	require.NoError(t, err)
-	require.NoError(t, raw.Read(func(fd uintptr) bool { return poll(int(fd), unix.POLLIN) != 0 }))
+	require.NoError(t, raw.Read(func(fd uintptr) bool { return socket.IsReadable(int(fd)) }))
 	require.True(t, b.hasUnread())
 }
--- a/caller/room.go
+++ b/caller/room.go
@@ -1,8 +1,9 @@
 package caller
 
 import (
-	"syscall"
 	"time"
+
+	"github.com/briarrouter/briarrouter/socket"
 )
 
 // waitingPoll is the interval at which the server looks for connections that wait to be
@@ -23,7 +24,7 @@
 	defer ticker.Stop()
 	defer s.crowded.Store(false)
 	for {
-		if s.connectionWaits() {
+		if socket.HasInput(s.listener) {
 			s.crowded.Store(true)
 			s.closeLongestIdle()
 		}
@@ -37,21 +38,6 @@
 	}
 }
 
-// connectionWaits reports whether a connection waits to be accepted.
-func (s *Server) connectionWaits() bool {
-	listener, ok := s.listener.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := listener.SyscallConn()
-	if err != nil {
-		return false
-	}
-	waits := false
-	err = raw.Control(func(fd uintptr) { waits = isReadable(int(fd)) })
-	return err == nil && waits
-}
-
 func (s *Server) releaseSlot() { <-s.slots }
 
 // closeLongestIdle closes the connection that has been idle longest, and one on which no
--- a/caller/tasks_test.go
+++ b/caller/tasks_test.go
@@ -20,6 +20,7 @@
 	"github.com/briarrouter/briarrouter/outcome"
 	"github.com/briarrouter/briarrouter/roster"
 	"github.com/briarrouter/briarrouter/settings"
+	"github.com/briarrouter/briarrouter/socket"
 	"github.com/briarrouter/briarrouter/unit"
 	"github.com/briarrouter/briarrouter/work"
 	"github.com/rs/zerolog"
@@ -179,7 +180,7 @@
 func awaitClose(t *testing.T, conn *net.TCPConn) {
 	raw, err := conn.SyscallConn()
 	require.NoError(t, err)
-	require.NoError(t, raw.Read(func(fd uintptr) bool { return isClosedByPeer(int(fd)) }))
+	require.NoError(t, raw.Read(func(fd uintptr) bool { return socket.IsClosedByPeer(int(fd)) }))
 }
 
 type endlessReader struct{}
--- a/command/serve.go
+++ b/command/serve.go
@@ -253,7 +253,9 @@
 		k.Register(logServiceName, logService{b.dropped})
 	}
 	k.Register(metric.ServiceName, metrics)
-	k.Register(operator.ServiceName, operator.New(operator.Config{Address: daemon.Operator, Memory: processMemory, Connections: daemon.Limits.ServiceConnections(), Log: log}))
+	k.Register(operator.ServiceName, operator.New(operator.Config{
+		Address: daemon.Operator, Memory: processMemory, Connections: daemon.Limits.ServiceConnections(), Buffers: daemon.Limits.ServiceBuffers(), Scope: scope, Log: log,
+	}))
 	k.Register(configuration.ServiceName, b.newConfigurationStore(terms))
 	k.Register(dispatch.ServiceName, dispatch.New(dispatch.Config{
 		Log: requestLog, Scope: scope, Memory: processMemory, ResponseBuffer: daemon.Limits.AnswerBuffer, Connections: targetConnections(daemon.Limits),
@@ -289,7 +291,8 @@
 	if usesStore {
 		callerConfig.Dialect = platform.Dialect{}
 		k.Register(platform.DirectoryName, platform.NewDirectory(platform.DirectoryConfig{
-			Resolve: daemon.Directory.Resolve, Ready: daemon.Directory.Ready, TTL: addressTTL(daemon, terms), Memory: processMemory, Connections: daemon.Limits.ServiceConnections(), Log: log,
+			Resolve: daemon.Directory.Resolve, Ready: daemon.Directory.Ready, TTL: addressTTL(daemon, terms), Memory: processMemory,
+			Connections: daemon.Limits.ServiceConnections(), Buffers: daemon.Limits.ServiceBuffers(), Scope: scope, Log: log,
 		}))
 	}
 	k.Register(caller.ServiceName, caller.New(callerConfig))
--- a/message/server.go
+++ b/message/server.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/briarrouter/briarrouter/memory"
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 )
 
 // Server is an HTTP server whose Stop waits for requests only. The Shutdown of net/http
@@ -17,10 +19,7 @@
 // up to several seconds, such as those of a peer whose network is cut.
 type Server struct {
 	server *http.Server
-	// limiter limits the memory of header sections; nil if they are not limited.
-	limiter *memory.Limiter
-	// connections bounds the open connections; zero for no bound.
-	connections int
+	cfg    ServerConfig
 
 	mu sync.Mutex
 	// active counts the requests that are being handled.
@@ -31,28 +30,60 @@
 
 // ServerConfig configures a Server.
 type ServerConfig struct {
+	// Name tells the servers of a process apart in metrics and in the log.
+	Name string
 	// Memory limits the memory of header sections; nil for no limit.
 	Memory *memory.Limiter
-	// Connections bounds the open connections; further ones wait to be accepted. Zero
-	// stands for no bound.
+	// Connections bounds the open connections. While that many are open and another one
+	// waits, the one that has waited longest for its client is closed. Zero stands for no
+	// bound.
 	Connections int
+	// BodyTimeout bounds the time in which the body of a request must arrive, unless the
+	// handler sets another deadline. If it is zero, bodies are not read: a request with one
+	// is answered and its connection closed.
+	BodyTimeout time.Duration
+	// Scope is where metrics are created; nil for none.
+	Scope tally.Scope
+	Log   zerolog.Logger
 }
 
 // NewServer returns a server with the handler and the limits of an http.Server, which
 // must not be used otherwise.
 func NewServer(s *http.Server, cfg ServerConfig) *Server {
-	server := &Server{server: s, limiter: cfg.Memory, connections: cfg.Connections}
+	server := &Server{server: s, cfg: cfg}
 	s.ConnState, s.ConnContext = connState, connContext
 	handler := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		endHeader(r.Context())
+		if c := connectionOf(r.Context()); c != nil {
+			c.beginRequest()
+			defer c.endRequest()
+			if r.Body != http.NoBody {
+				r.Body = waitingBody{r.Body, c}
+			}
+		}
 		server.begin()
 		defer server.end()
+		server.limitBody(w, r)
 		handler.ServeHTTP(w, r)
 	})
 	return server
 }
 
+// limitBody keeps a request whose body does not arrive from holding its connection, also
+// after the response: net/http reads what the handler has left.
+func (s *Server) limitBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		return
+	}
+	if s.cfg.BodyTimeout == 0 {
+		w.Header().Set("Connection", "close")
+	}
+	deadline := time.Now().Add(s.cfg.BodyTimeout)
+	if err := http.NewResponseController(w).SetReadDeadline(deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		s.cfg.Log.Debug().Err(err).Msg("deadline of a request body cannot be set")
+	}
+}
+
 func (s *Server) begin() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -80,7 +111,7 @@
 
 // Serve serves the connections of a listener until Stop; see http.Server.
 func (s *Server) Serve(l net.Listener) error {
-	return s.server.Serve(newListener(l, s.limiter, s.connections))
+	return s.server.Serve(newListener(l, s.cfg))
 }
 
 // Close closes the listeners and all connections at once.
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -16,9 +16,11 @@
 	"github.com/briarrouter/briarrouter/kernel"
 	"github.com/briarrouter/briarrouter/memory"
 	"github.com/briarrouter/briarrouter/message"
+	"github.com/briarrouter/briarrouter/socket"
 	"github.com/julienschmidt/httprouter"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 )
 
 const ServiceName kernel.Name = "operator"
@@ -48,6 +50,10 @@
 	Memory *memory.Limiter
 	// Connections bounds the open connections; zero for no bound.
 	Connections int
+	// Buffers bounds what the operating system holds for each connection.
+	Buffers socket.Buffers
+	// Scope is where metrics are created.
+	Scope tally.Scope
 }
 
 // Server is the HTTP server for operators.
@@ -61,8 +67,12 @@
 // New returns a server that does not listen until Start.
 func New(cfg Config) *Server { return &Server{cfg: cfg} }
 
-// headerTimeout bounds the time to read the header section of a request.
-const headerTimeout = 5 * time.Second
+const (
+	// headerTimeout bounds the time to read the header section of a request.
+	headerTimeout = 5 * time.Second
+	// idleTimeout is longer than the interval at which metrics are usually fetched.
+	idleTimeout = 2 * time.Minute
+)
 
 // Start opens the listener and serves requests in the background.
 func (s *Server) Start(_ context.Context, k *kernel.Kernel) error {
@@ -71,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", string(s.cfg.Address))
+	listener, err := socket.Listen(s.cfg.Address, s.cfg.Buffers, 0)
 	if err != nil {
 		return fmt.Errorf("listen on the operators' address: %w", err)
 	}
@@ -80,7 +90,9 @@
 	r.GET(ReadyPath, s.ready)
 	r.Handler(http.MethodGet, MetricsPath, metricService.Handler())
 	r.HandlerFunc(http.MethodGet, ProfilePath, pprof.Profile)
-	s.server = message.NewServer(&http.Server{Handler: r, ReadHeaderTimeout: headerTimeout}, message.ServerConfig{Memory: s.cfg.Memory, Connections: s.cfg.Connections})
+	s.server = message.NewServer(&http.Server{Handler: r, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}, message.ServerConfig{
+		Name: "operator", Memory: s.cfg.Memory, Connections: s.cfg.Connections, Scope: s.cfg.Scope, Log: s.cfg.Log,
+	})
 	s.group.Go(func() { s.run(listener) })
 	return nil
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -28,6 +28,7 @@
 	"github.com/briarrouter/briarrouter/router"
 	"github.com/briarrouter/briarrouter/schedule"
 	"github.com/briarrouter/briarrouter/settings"
+	"github.com/briarrouter/briarrouter/socket"
 	"github.com/briarrouter/briarrouter/statement"
 	"github.com/briarrouter/briarrouter/work"
 	"github.com/rs/zerolog"
@@ -152,12 +153,17 @@
 	}
 }
 
-// listenConfig disables TCP keep-alive probes, since the peers probe each
-// other.
-var listenConfig = net.ListenConfig{KeepAlive: -1}
+// noKeepAlive disables TCP keep-alive probes, since the peers probe each other.
+const noKeepAlive = time.Duration(-1)
 
-// headerTimeout bounds the reading of the header section of a peer's request.
-const headerTimeout = 5 * time.Second
+const (
+	// headerTimeout bounds the reading of the header section of a peer's request, and
+	// bodyTimeout that of its body, unless the request is relayed.
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = fetchTimeout
+	// idleTimeout is longer than peers keep idle connections.
+	idleTimeout = 2 * relayIdleLimit
+)
 
 // Start starts listening to peers and probing them.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) error {
@@ -169,7 +175,7 @@
 	if s.dispatcher, err = kernel.Find[dispatcher](k, "dispatch"); err != nil {
 		return err
 	}
-	listener, err := listenConfig.Listen(context.Background(), "tcp", string(s.cfg.Listen))
+	listener, err := socket.Listen(s.cfg.Listen, s.cfg.Limits.PeerBuffers(), noKeepAlive)
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
@@ -188,7 +194,10 @@
 		Handler:           s.routes(),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    2 * int(s.cfg.Limits.RequestHeader),
-	}, message.ServerConfig{Memory: s.cfg.Memory})
+		IdleTimeout:       idleTimeout,
+	}, message.ServerConfig{
+		Name: "peer", Memory: s.cfg.Memory, Connections: s.cfg.Limits.PeerConnections(), BodyTimeout: bodyTimeout, Scope: s.cfg.Scope, Log: s.cfg.Log,
+	})
 }
 
 // AddSeeds adds seed addresses. Addresses that were added earlier are still
--- a/settings/derive.go
+++ b/settings/derive.go
@@ -1,6 +1,9 @@
 package settings
 
-import "github.com/briarrouter/briarrouter/unit"
+import (
+	"github.com/briarrouter/briarrouter/socket"
+	"github.com/briarrouter/briarrouter/unit"
+)
 
 const (
 	// memoryShare is the share of the process's memory, as a divisor, that Buffers is by
@@ -78,3 +81,47 @@
 		return 0
 	}
 }
+
+const (
+	minPeerConnections = 32
+	maxPeerConnections = 4096
+	// peerShare is the share of the descriptors, as a divisor, that the connections of
+	// peers may take. Each peer keeps a few.
+	peerShare = 8
+)
+
+// PeerConnections returns the bound on the open connections at the address for peers; zero
+// for no bound, if Descriptors is not stated.
+func (l Limits) PeerConnections() int {
+	if l.Descriptors == 0 {
+		return 0
+	}
+	return max(minPeerConnections, min(maxPeerConnections, l.Descriptors/peerShare))
+}
+
+// What the operating system may hold for one connection if Memory is stated. A header
+// section of ordinary size and the first packets of a body fit in receiveBuffer.
+const (
+	receiveBuffer = 16 * unit.KiB
+	sendBuffer    = 32 * unit.KiB
+	// peerBuffer is larger, since relayed bodies and lists of targets pass through it.
+	peerBuffer = 64 * unit.KiB
+)
+
+func (l Limits) buffers(b socket.Buffers) socket.Buffers {
+	if l.Memory == 0 {
+		return socket.Buffers{}
+	}
+	return b
+}
+
+// ServiceBuffers returns the buffers of connections for address lookups, for readiness
+// checks and for operators.
+func (l Limits) ServiceBuffers() socket.Buffers {
+	return l.buffers(socket.Buffers{Receive: receiveBuffer, Send: sendBuffer})
+}
+
+// PeerBuffers returns the buffers of connections of peers.
+func (l Limits) PeerBuffers() socket.Buffers {
+	return l.buffers(socket.Buffers{Receive: peerBuffer, Send: peerBuffer})
+}
