caller: memory and places of bodies that arrive slowly or stand still

Causes: io.ReadAll held up to 1.25 times the reserved size and as much garbage, and a chunked body reserved the largest size at once. What the operating system held for a connection had no bound: 64 KB and more for each that nobody read. Bodies could take all of Buffers. Only idle connections made room for others. Each read of a body had a timeout of its own, but the body had no deadline.

The operating system's buffers are bounded if Memory is stated, and widened for a body for which memory is reserved. While a connection waits to be accepted, one whose caller stands still within a head, a body or a response yields. Bodies that are arriving take at most three quarters of the places; a further one is refused as not run. A body is given up at the deadline of its request or its route's timeout, counted from the arrival of the head, with 408 (not run). Slow callers that go on sending are not cut before that.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -20,6 +20,7 @@
 	"github.com/briarrouter/briarrouter/metric"
 	"github.com/briarrouter/briarrouter/roster"
 	"github.com/briarrouter/briarrouter/settings"
+	"github.com/briarrouter/briarrouter/socket"
 	"github.com/briarrouter/briarrouter/work"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
@@ -69,6 +70,8 @@
 	Limits  settings.Limits
 	Timing  settings.Timing
 	Memory  *memory.Limiter
+	// Buffers bounds what the operating system holds for each connection.
+	Buffers socket.Buffers
 	Log     zerolog.Logger
 	// Dialect is the protocol of the callers; nil stands for the type Dialect of
 	// this package. If it is set, AddressesPath is not served, because callers of
@@ -98,6 +101,8 @@
 	timing atomic.Pointer[settings.Timing]
 	// crowded is set while a connection waits for a slot.
 	crowded atomic.Bool
+	// bodies counts the connections whose bodies are arriving.
+	bodies atomic.Int64
 	// draining is set when Stop begins; from then on a response closes its connection
 	// unless another request has arrived behind it.
 	draining atomic.Bool
@@ -191,7 +196,7 @@
 		return err
 	}
 	s.scope = metrics.Scope()
-	listener, err := net.Listen("tcp", string(s.cfg.Address))
+	listener, err := socket.Listen(s.cfg.Address, s.cfg.Buffers, 0)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
--- a/caller/connection.go
+++ b/caller/connection.go
@@ -47,6 +47,13 @@
 	idleSince atomic.Int64
 	// used is set once a request was read.
 	used atomic.Bool
+	// receivesBody is set while the connection counts in Server.bodies.
+	receivesBody atomic.Bool
+	// yielded is set once the connection ends because its caller stands still.
+	yielded atomic.Bool
+	// window is the size to which the operating system's receive buffer was changed for the
+	// body of the request; zero if it was not. Only the connection's task uses it.
+	window unit.Bytes
 	// progress changes where the connection's task goes from one step to the next.
 	progress progress
 	// lastRequest is the last request that was read, as it is logged; empty before one was.
@@ -107,9 +114,19 @@
 	timeout time.Duration
 	// written counts the bytes that the operating system accepted.
 	written unit.Bytes
+	// waitingSince is since when Write waits, in nanoseconds since 1970; zero if it does not.
+	waitingSince atomic.Int64
+}
+
+// waitsSince returns since when a Write is in progress; false if none is.
+func (w *timeoutWriter) waitsSince() (time.Time, bool) {
+	at := w.waitingSince.Load()
+	return time.Unix(0, at), at != 0
 }
 
 func (w *timeoutWriter) Write(b []byte) (int, error) {
+	w.waitingSince.Store(time.Now().UnixNano())
+	defer w.waitingSince.Store(0)
 	if err := w.conn.SetWriteDeadline(time.Now().Add(w.timeout)); err != nil {
 		return 0, err
 	}
@@ -136,6 +153,9 @@
 
 // linger closes the write side and waits for the caller to close its side.
 func (c *connection) linger() {
+	if c.yielded.Load() {
+		return
+	}
 	if half, ok := c.conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
 		c.progress.enter(lingering)
 		c.setReadDeadline(lingerTime)
@@ -180,6 +200,7 @@
 	}
 	x := &transaction{connection: c, request: r, limits: limits, arrivedAt: c.input.arrivedAt(c.unparsed())}
 	defer c.section.Resize(0)
+	defer c.endBody()
 	return x.run()
 }
 
@@ -189,7 +210,7 @@
 func (c *connection) refuseHeader(err error) {
 	x := &transaction{connection: c, request: &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1}}
 	switch {
-	case errors.Is(err, memory.ErrNoMemory):
+	case errors.Is(err, memory.ErrNoMemory), errors.Is(err, errYielded):
 		// The part that has not arrived may hold a key.
 		x.hasKey = c.server.cfg.Dialect == nil
 		x.refuse(http.StatusServiceUnavailable, work.MemoryLimit, err)
--- a/caller/receivebuffer.go
+++ b/caller/receivebuffer.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -60,6 +61,64 @@
 	// paused is set while the buffer is full and the receiving task waits for the end
 	// of the connection instead of more bytes.
 	paused bool
+	// yielded is set when the connection is to end as soon as all received bytes have been
+	// read.
+	yielded bool
+	// bodies counts the bodies that were read from the connection. readsBody is set while
+	// the last of them is read, and interrupted once it is not to be read any further.
+	bodies                 uint64
+	readsBody, interrupted bool
+	// waitingSince is since when Read waits, in nanoseconds since 1970; zero if it does not.
+	waitingSince atomic.Int64
+}
+
+// errYielded is the error of a read on a connection whose slot is needed for another one.
+var errYielded = errors.New("caller stands still while others wait")
+
+// yield ends the wait for the caller, now or later.
+func (b *receiveBuffer) yield() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.yielded = true
+	b.changed.Broadcast()
+}
+
+// beginBody returns the number of the body that is read from now on until endBody.
+func (b *receiveBuffer) beginBody() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bodies++
+	b.readsBody, b.interrupted = true, false
+	return b.bodies
+}
+
+func (b *receiveBuffer) endBody() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.readsBody, b.interrupted = false, false
+}
+
+// interruptBody fails the reads of the body of a number, unless it has ended.
+func (b *receiveBuffer) interruptBody(number uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.readsBody && b.bodies == number {
+		b.interrupted = true
+		b.changed.Broadcast()
+	}
+}
+
+// waitsSince returns since when Read waits for bytes; false if it does not.
+func (b *receiveBuffer) waitsSince() (time.Time, bool) {
+	at := b.waitingSince.Load()
+	return time.Unix(0, at), at != 0
+}
+
+// buffered returns how many bytes were received and not read.
+func (b *receiveBuffer) buffered() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.data)
 }
 
 // unread counts the bytes of a connection that nobody read.
@@ -188,10 +247,14 @@
 
 // ended returns why no bytes come, or nil if more may come. The caller holds mu.
 func (b *receiveBuffer) ended() error {
-	if b.err == nil {
+	switch {
+	case b.err != nil:
+		return b.err
+	case b.yielded:
+		return errYielded
+	default:
 		return b.expired
 	}
-	return b.err
 }
 
 // setDeadline sets the time after which reading fails if no bytes arrive; the zero time
@@ -340,11 +403,21 @@
 func (b *receiveBuffer) Read(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.interrupted {
+		return 0, errInterrupted
+	}
+	if len(b.data) == 0 {
+		b.waitingSince.Store(time.Now().UnixNano())
+		defer b.waitingSince.Store(0)
+	}
 	for len(b.data) == 0 {
 		if err := b.ended(); err != nil {
 			return 0, err
 		}
 		b.changed.Wait()
+		if b.interrupted {
+			return 0, errInterrupted
+		}
 	}
 	n := copy(p, b.data)
 	b.data = b.data[n:]
--- a/caller/room.go
+++ b/caller/room.go
@@ -12,8 +12,8 @@
 
 // acquireSlot waits until another connection may be accepted. It returns false if the
 // server stops first. While all slots are taken and a connection waits, responses announce
-// the close of their connections, and the connection that has been idle longest is closed,
-// so that silent connections do not keep other callers out.
+// the close of their connections, and a connection that waits for its caller yields, so
+// that callers that stand still do not keep others out.
 func (s *Server) acquireSlot() bool {
 	select {
 	case s.slots <- struct{}{}:
@@ -26,7 +26,7 @@
 	for {
 		if socket.HasInput(s.listener) {
 			s.crowded.Store(true)
-			s.closeLongestIdle()
+			s.makeRoom(time.Now())
 		}
 		select {
 		case s.slots <- struct{}{}:
@@ -40,29 +40,137 @@
 
 func (s *Server) releaseSlot() { <-s.slots }
 
-// closeLongestIdle closes the connection that has been idle longest, and one on which no
-// request was read before all others: its caller loses nothing.
-func (s *Server) closeLongestIdle() {
+const (
+	// standstill is how long no byte of a body has arrived at least when its connection
+	// yields. Pauses of a caller that sends on are shorter, also when packets are lost.
+	standstill = time.Second
+	// headStandstill is the same for a header section, which callers send at once, and
+	// writeStandstill for a response that the caller does not take.
+	headStandstill  = 100 * time.Millisecond
+	writeStandstill = 250 * time.Millisecond
+)
+
+// yieldRank orders the connections that wait for their callers by what these lose.
+type yieldRank int
+
+const (
+	// unusedRank is for connections on which no request was read, idleRank for those
+	// between two requests, and lingeringRank for those whose last response was written.
+	unusedRank yieldRank = iota
+	idleRank
+	lingeringRank
+	// stillRank is for connections whose callers stand still within a request or a response.
+	stillRank
+)
+
+// waitsSince returns since when the connection waits for its caller, and its rank; false if
+// it does not, or has not for long enough to yield.
+func (c *connection) waitsSince(now time.Time) (rank yieldRank, since time.Time, ok bool) {
+	if c.yielded.Load() {
+		return 0, since, false
+	}
+	if at := c.idleSince.Load(); at != 0 {
+		rank = unusedRank
+		if c.used.Load() {
+			rank = idleRank
+		}
+		return rank, time.Unix(0, at), true
+	}
+	rank = stillRank
+	least := standstill
+	switch c.progress.current() {
+	case lingering:
+		return lingeringRank, since, true
+	case writing:
+		least = writeStandstill
+		since, ok = c.output.waitsSince()
+	case receivingHead:
+		least = headStandstill
+		since, ok = c.input.waitsSince()
+	default:
+		since, ok = c.input.waitsSince()
+	}
+	return rank, since, ok && now.Sub(since) >= least
+}
+
+// makeRoom has one of the connections that wait for their callers yield: of the lowest rank,
+// the one that has waited longest.
+func (s *Server) makeRoom(now time.Time) bool {
+	return s.yieldLongest(now, func(*connection) bool { return true })
+}
+
+// yieldStillBody has the connection yield whose body has stood still longest, so that its
+// memory is returned. It returns false if there is none.
+func (s *Server) yieldStillBody() bool {
+	return s.yieldLongest(time.Now(), func(c *connection) bool { return c.receivesBody.Load() })
+}
+
+// yieldLongest has one of the accepted connections that wait for their callers yield, and
+// returns false if there is none.
+func (s *Server) yieldLongest(now time.Time, accepted func(*connection) bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var longest *connection
+	var lowest yieldRank
+	var longestSince time.Time
 	for c := range s.connections {
-		if c.idleSince.Load() != 0 && (longest == nil || c.yieldsBefore(longest)) {
-			longest = c
+		if !accepted(c) {
+			continue
+		}
+		rank, since, ok := c.waitsSince(now)
+		if ok && (longest == nil || rank < lowest || rank == lowest && since.Before(longestSince)) {
+			longest, lowest, longestSince = c, rank, since
 		}
 	}
 	if longest != nil {
-		longest.input.closeIdle()
+		longest.yield(lowest)
+	}
+	return longest != nil
+}
+
+// yield ends a connection that waits for its caller. A request that is being received is
+// refused, and the connection closed without waiting for the caller any longer.
+func (c *connection) yield(rank yieldRank) {
+	if rank <= idleRank {
+		c.input.closeIdle()
+		return
+	}
+	c.yielded.Store(true)
+	state := c.progress.current()
+	c.server.cfg.Log.Info().Stringer("State", state).Str("CallerAddress", c.conn.RemoteAddr().String()).
+		Msg("connection whose caller stands still is closed for others")
+	if state == writing || state == lingering {
+		c.progress.finish(yielded)
+		c.close()
+		return
+	}
+	c.input.yield()
+}
+
+// bodyShare is the share of the slots, as a fraction, that connections may take whose bodies
+// are arriving, so that they do not keep out requests that have arrived whole.
+const (
+	bodyShareNumerator   = 3
+	bodyShareDenominator = 4
+)
+
+// admitBody registers a connection whose body is arriving and reports whether there is
+// room. If there is none, a body that stands still yields its room.
+func (s *Server) admitBody(c *connection) bool {
+	limit := int64(cap(s.slots) * bodyShareNumerator / bodyShareDenominator)
+	if s.bodies.Add(1) > limit && !s.yieldStillBody() {
+		s.bodies.Add(-1)
+		return false
 	}
+	c.receivesBody.Store(true)
+	return true
 }
 
-// yieldsBefore reports whether the connection is closed for lack of slots before another
-// one, both of which are idle.
-func (c *connection) yieldsBefore(other *connection) bool {
-	if used := c.used.Load(); used != other.used.Load() {
-		return !used
+// dismissBody reverts admitBody. It has no effect if the connection is not registered.
+func (s *Server) dismissBody(c *connection) {
+	if c.receivesBody.CompareAndSwap(true, false) {
+		s.bodies.Add(-1)
 	}
-	return c.idleSince.Load() < other.idleSince.Load()
 }
 
 // closeLongestSection closes the connection other than c that has waited longest for the
--- a/caller/state.go
+++ b/caller/state.go
@@ -74,6 +74,9 @@
 	// closedForMemory means that the header section of a request was not whole when its
 	// memory was needed.
 	closedForMemory connectionEnding = "closed-for-memory"
+	// yielded means that the caller stood still while the connection's slot or its memory
+	// was needed.
+	yielded connectionEnding = "yielded"
 	// closedByForce means that a stop closed the connection whatever its state.
 	closedByForce connectionEnding = "closed-by-force"
 )
--- a/caller/transaction.go
+++ b/caller/transaction.go
@@ -1,11 +1,11 @@
 package caller
 
 import (
+	"bytes"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
-	"strings"
 	"time"
 
 	"github.com/briarrouter/briarrouter/id"
@@ -30,7 +30,7 @@
 	arrivedAt time.Time
 	// body is the request body while it has not been read whole; nil if it has
 	// been buffered whole or is empty.
-	body *eofReader
+	body *body
 	id   id.Request
 	// read is set when the request has been read, apart from a body that is streamed.
 	read bool
@@ -125,7 +125,7 @@
 // its slot.
 func (x *transaction) closesConnection() bool {
 	return x.request.Close || !x.request.ProtoAtLeast(1, 1) || x.body != nil && !x.body.atEOF ||
-		x.connection.isLeaving() || x.connection.server.crowded.Load() && x.connection.hasReadAll()
+		x.connection.isLeaving() || x.connection.yielded.Load() || x.connection.server.crowded.Load() && x.connection.hasReadAll()
 }
 
 const (
@@ -176,7 +176,7 @@
 		StatusCode: response.Status, ProtoMajor: 1, ProtoMinor: 1, Request: x.request,
 		Header: c.server.dialect.Encode(x.id, response), ContentLength: int64(response.Size), Close: x.closes,
 	}
-	resp.Body = io.NopCloser(io.MultiReader(strings.NewReader(string(response.Buffered)), remainder(response)))
+	resp.Body = io.NopCloser(io.MultiReader(bytes.NewReader(response.Buffered), remainder(response)))
 	if response.Size == 0 || x.request.Method == http.MethodHead {
 		resp.Body = http.NoBody
 	}
--- a/command/serve.go
+++ b/command/serve.go
@@ -259,7 +259,7 @@
 	k.Register(configuration.ServiceName, b.newConfigurationStore(terms))
 	k.Register(dispatch.ServiceName, dispatch.New(dispatch.Config{
 		Log: requestLog, Scope: scope, Memory: processMemory, ResponseBuffer: daemon.Limits.AnswerBuffer, Connections: targetConnections(daemon.Limits),
-		Host: daemon.Host, FailureDomain: daemon.FailureDomain, Crossing: daemon.Crossing, Seed: seed,
+		Host:    daemon.Host, FailureDomain: daemon.FailureDomain, Crossing: daemon.Crossing, Seed: seed,
 	}))
 	k.Register(peer.ServiceName, peer.New(peer.Config{
 		Self: self, Listen: daemon.Peers, Limits: daemon.Limits, Timing: daemon.Timing, Memory: processMemory, Scope: scope, Log: log, RandomSeed: seed, Seeds: daemon.Seeds,
@@ -287,7 +287,7 @@
 		Scope: scope,
 		Local: usesStore,
 	}))
-	callerConfig := caller.Config{Address: daemon.Callers, Limits: daemon.Limits, Timing: daemon.Timing, Memory: processMemory, Log: requestLog}
+	callerConfig := caller.Config{Address: daemon.Callers, Limits: daemon.Limits, Timing: daemon.Timing, Memory: processMemory, Buffers: daemon.Limits.CallerBuffers(), Log: requestLog}
 	if usesStore {
 		callerConfig.Dialect = platform.Dialect{}
 		k.Register(platform.DirectoryName, platform.NewDirectory(platform.DirectoryConfig{
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -14,15 +14,20 @@
 type Kind int
 
 const (
-	// Buffers holds bodies, and bytes that were received and not read yet.
+	// Buffers holds bodies of responses, and bytes that were received and not read yet.
 	Buffers Kind = iota
+	// Bodies holds the bodies of requests that are buffered for a retry.
+	Bodies
+	// Streams holds what is between the connections of streamed bodies. It has a limit of
+	// its own, so that bodies for which no buffer is left can be streamed.
+	Streams
 	// Headers holds header sections that are being received, or that belong to requests
 	// and responses in progress.
 	Headers
 	kindCount
 )
 
-var kindNames = [kindCount]string{"buffers", "headers"}
+var kindNames = [kindCount]string{"buffers", "bodies", "streams", "headers"}
 
 func (k Kind) String() string { return kindNames[k] }
 
@@ -69,6 +74,42 @@
 // than was reserved.
 func (l *Limiter) Release(n unit.Bytes) { l.release(Buffers, n) }
 
+// TryAcquireBody reserves n bytes for the body of a request and reports whether the limit
+// allowed it. It does not block.
+func (l *Limiter) TryAcquireBody(n unit.Bytes) bool { return l.tryAcquire(Bodies, n) }
+
+// ReleaseBody gives back n bytes reserved with TryAcquireBody.
+func (l *Limiter) ReleaseBody(n unit.Bytes) { l.release(Bodies, n) }
+
+// bodyShare is the part of the limit, in percent, that bodies of requests may take, so that
+// others can still be streamed.
+const bodyShare = 75
+
+// TryAcquireStream reserves the memory for another streamed body and reports whether the
+// limit allowed it. It does not block.
+func (l *Limiter) TryAcquireStream() bool {
+	streams := &l.kinds[Streams]
+	if streams.reserved.Load()+int64(StreamSize) > int64(l.limitOf(Streams)) {
+		streams.refuse()
+		return false
+	}
+	streams.add(StreamSize)
+	return true
+}
+
+// ReleaseStream gives back what was reserved with TryAcquireStream.
+func (l *Limiter) ReleaseStream() { l.kinds[Streams].add(-StreamSize) }
+
+const (
+	// StreamSize is what a streamed body takes: the buffers between its connections, and two
+	// tasks.
+	StreamSize = 48 * unit.KiB
+	// streamShare is the share of the limit, as a divisor, that streamed bodies may take in
+	// addition to it, but minStreams of them at least.
+	streamShare = 8
+	minStreams  = 16
+)
+
 // headerShare is the share of the limit, as a divisor, that header sections may take, so
 // that clients cannot use up the memory for bodies with them.
 const headerShare = 2
@@ -77,8 +118,22 @@
 // at the same time may exceed it by little, within the limit of all kinds.
 func (l *Limiter) HeaderLimit() unit.Bytes { return l.limit / headerShare }
 
+// limitOf returns the total size that may be reserved for a kind.
+func (l *Limiter) limitOf(k Kind) unit.Bytes {
+	switch k {
+	case Headers:
+		return l.HeaderLimit()
+	case Bodies:
+		return l.limit * bodyShare / 100
+	case Streams:
+		return max(l.limit/streamShare, minStreams*StreamSize)
+	default:
+		return l.limit
+	}
+}
+
 func (l *Limiter) tryAcquire(k Kind, n unit.Bytes) bool {
-	if k == Headers && l.kinds[k].reserved.Load()+int64(n) > int64(l.HeaderLimit()) {
+	if l.kinds[k].reserved.Load()+int64(n) > int64(l.limitOf(k)) {
 		l.kinds[k].refuse()
 		return false
 	}
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -178,11 +179,12 @@
 	// The request holds an encoded copy of its fields, which takes much less memory.
 	r.Header = nil
 	body, release, err := message.ReadBody(w, r, message.BodyConfig{
-		Limit: s.cfg.Limits.RequestBody, Buffer: s.cfg.Limits.BodyBuffer, Memory: s.cfg.Memory, ReadTimeout: s.cfg.Timing.SlowCaller,
+		Limit: s.cfg.Limits.RequestBody, Buffer: s.cfg.Limits.BodyBuffer, Memory: s.cfg.Memory,
+		ReadTimeout: s.cfg.Timing.SlowCaller, Deadline: req.Deadline,
 	})
 	defer release()
 	if err != nil {
-		message.WriteResponse(w, req.ID, s.unreadBodyResponse(purpose), s.cfg.Timing.SlowCaller)
+		message.WriteResponse(w, req.ID, s.unreadBodyResponse(purpose, err), s.cfg.Timing.SlowCaller)
 		return
 	}
 	req.Body = body
@@ -194,9 +196,12 @@
 // or did not arrive whole. The dispatcher has not run such a request. A
 // request relayed to the owner may be a retry of one that ran, so its outcome is
 // unknown.
-func (s relayServer) unreadBodyResponse(purpose router.Purpose) work.Response {
-	if purpose == router.ToOwner {
+func (s relayServer) unreadBodyResponse(purpose router.Purpose, err error) work.Response {
+	switch {
+	case purpose == router.ToOwner:
 		return work.Refuse(outcome.Unknown, http.StatusBadRequest, work.BadRequest)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return work.Refuse(outcome.NotRun, http.StatusRequestTimeout, work.DeadlinePassed)
 	}
 	return work.Refuse(outcome.NotRun, http.StatusBadRequest, work.BadRequest)
 }
--- a/settings/derive.go
+++ b/settings/derive.go
@@ -103,7 +103,9 @@
 // section of ordinary size and the first packets of a body fit in receiveBuffer.
 const (
 	receiveBuffer = 16 * unit.KiB
-	sendBuffer    = 32 * unit.KiB
+	sendBuffer    = 16 * unit.KiB
+	// targetSendBuffer is larger, since uploads pass through it.
+	targetSendBuffer = 32 * unit.KiB
 	// peerBuffer is larger, since relayed bodies and lists of targets pass through it.
 	peerBuffer = 64 * unit.KiB
 )
@@ -125,3 +127,13 @@
 func (l Limits) PeerBuffers() socket.Buffers {
 	return l.buffers(socket.Buffers{Receive: peerBuffer, Send: peerBuffer})
 }
+
+// CallerBuffers returns the buffers of connections of callers.
+func (l Limits) CallerBuffers() socket.Buffers {
+	return l.buffers(socket.Buffers{Receive: receiveBuffer, Send: sendBuffer})
+}
+
+// TargetBuffers returns the buffers of connections to targets.
+func (l Limits) TargetBuffers() socket.Buffers {
+	return l.buffers(socket.Buffers{Receive: receiveBuffer, Send: targetSendBuffer})
+}
--- a/work/work.go
+++ b/work/work.go
@@ -161,6 +161,11 @@
 	TooManyHops       Reason = "too-many-hops"
 	MemoryLimit       Reason = "memory-limit"
 	RequestTooLarge   Reason = "request-too-large"
+	// BodyLimit means that too many bodies were arriving, or that this one stood still while
+	// others waited.
+	BodyLimit Reason = "body-limit"
+	// BodyIncomplete means that the caller did not send the rest of a body.
+	BodyIncomplete Reason = "body-incomplete"
 	// Leaving means that the daemon is being stopped before the request could end.
 	Leaving Reason = "leaving"
 	// InternalError means that handling the request panicked.
