dispatch: slots that streamed bodies hold while they stand still

What callers saw: streamed bodies that stood still held the slots of targets for 10 s each, so that some tens of them shut ordinary callers out of a service (7 or 8 of 10 got 503); the same requests were not answered at their deadline.

Cause: an exchange waited for its writer, and the writer for the caller's next byte, also after the deadline had passed or the target had responded or gone. Nothing bounded the slots that such bodies hold, and nothing took one back.

Change: the end of an exchange interrupts the read of the caller's body. A body that ends so is no failure of the target and does not count against its service; callers get 502 body-incomplete, or 504 at the deadline. Response bodies are read into a slice of the size that is reserved, and the operating system's buffers of connections to targets are bounded.

--- a/command/serve.go
+++ b/command/serve.go
@@ -259,6 +259,7 @@
 	k.Register(configuration.ServiceName, b.newConfigurationStore(terms))
 	k.Register(dispatch.ServiceName, dispatch.New(dispatch.Config{
 		Log: requestLog, Scope: scope, Memory: processMemory, ResponseBuffer: daemon.Limits.AnswerBuffer, Connections: targetConnections(daemon.Limits),
+		Buffers: daemon.Limits.TargetBuffers(),
 		Host:    daemon.Host, FailureDomain: daemon.FailureDomain, Crossing: daemon.Crossing, Seed: seed,
 	}))
 	k.Register(peer.ServiceName, peer.New(peer.Config{
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -200,46 +199,12 @@
 func (a *attempt) response() work.Response {
 	response := work.Response{Outcome: outcome.Ran, Status: a.reply.Status, Header: a.reply.Header, Buffered: a.reply.Buffered, Size: a.reply.Size}
 	if a.reply.Rest != nil {
-		response.Rest = &responseStream{ReadCloser: a.reply.Rest, attempt: a}
+		stream := &responseStream{ReadCloser: a.reply.Rest, attempt: a}
+		a.service.transfers.addResponse(stream)
+		response.Rest = stream
 		return response
 	}
 	a.execution.releaseContext()
 	response.Release = a.reply.Release
 	return response
 }
-
-// responseStream is the body of a streamed response. It holds the attempt's slot
-// until the body ends or is closed.
-type responseStream struct {
-	io.ReadCloser
-	attempt *attempt
-	ended   bool
-}
-
-// Read releases the slot when the body ends or is truncated.
-func (s *responseStream) Read(p []byte) (int, error) {
-	n, err := s.ReadCloser.Read(p)
-	switch {
-	case err == io.EOF:
-		s.end(outcome.Answered)
-	case err != nil:
-		s.end(outcome.Truncated)
-	}
-	return n, err
-}
-
-// Close releases the slot if the body was not read to its end.
-func (s *responseStream) Close() error {
-	s.end(outcome.Cancelled)
-	return s.ReadCloser.Close()
-}
-
-func (s *responseStream) end(e outcome.Ending) {
-	if s.ended {
-		return
-	}
-	s.ended = true
-	s.attempt.releaseSlot(e)
-	s.attempt.execution.releaseContext()
-	s.attempt.reply.Release()
-}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -24,6 +24,7 @@
 	"github.com/briarrouter/briarrouter/outcome"
 	"github.com/briarrouter/briarrouter/quarantine"
 	"github.com/briarrouter/briarrouter/schedule"
+	"github.com/briarrouter/briarrouter/socket"
 	"github.com/briarrouter/briarrouter/statement"
 	"github.com/briarrouter/briarrouter/unit"
 	"github.com/briarrouter/briarrouter/work"
@@ -62,6 +63,8 @@
 	// Crossing is what it costs to leave that; zero if the policies of the services
 	// state it.
 	Crossing crossing.Config
+	// Buffers bounds what the operating system holds for each connection to a target.
+	Buffers socket.Buffers
 	// Dial connects to a target; if nil, a net.Dialer is used.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Seed seeds the random choices, such as those between equal targets.
--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -173,7 +174,7 @@
 		e.releaseContext()
 		e.outcome = outcome.Combine(e.outcome, reply.Ending.Outcome())
 		if e.running == 0 && !e.service.allowRetry(reply.Ending, e.attempts, e.req, e.route) {
-			return preferTargetResponse(e.errorResponse, e.service.failureResponse(e.outcome, reply.Ending)), true
+			return preferTargetResponse(e.errorResponse, e.failureResponse(reply.Ending)), true
 		}
 	}
 	if e.running == 0 {
@@ -182,6 +183,20 @@
 	return work.Response{}, false
 }
 
+// failureResponse returns the response after the last attempt failed. A body that ended
+// because the deadline passed or the caller left is no failure of the caller to send it.
+func (e *execution) failureResponse(ending outcome.Ending) work.Response {
+	if ending == outcome.BodyFailed {
+		switch {
+		case errors.Is(e.ctx.Err(), context.DeadlineExceeded):
+			ending = outcome.TimedOut
+		case e.ctx.Err() != nil:
+			ending = outcome.Cancelled
+		}
+	}
+	return e.service.failureResponse(e.outcome, ending)
+}
+
 // releaseErrorResponse releases the memory of an error response that is not returned.
 func (e *execution) releaseErrorResponse() {
 	if e.errorResponse != nil {
--- a/dispatch/handle.go
+++ b/dispatch/handle.go
@@ -17,10 +17,16 @@
 // handle runs a request and records whether it was served. A request is served
 // if a target responded with a status below 500. A request of a route that is
 // divided among several services is recorded for each of them, whichever ran it. A
-// request whose caller cancelled it during an attempt is not recorded.
+// request whose caller cancelled it during an attempt, or did not send its whole body, is
+// not recorded.
 func (s *serviceDispatcher) handle(ctx context.Context, req *work.Request, route *configuration.Route) work.Response {
+	end, refusal, ok := s.admitBody(req, route)
+	if !ok {
+		return refusal
+	}
+	defer end()
 	response := newExecution(ctx, s, req, route).run()
-	if response.Reason == work.CallerGone {
+	if response.Reason == work.CallerGone || response.Reason == work.BodyIncomplete {
 		return response
 	}
 	served := response.Outcome == outcome.Ran && response.Status < http.StatusInternalServerError
@@ -87,6 +93,9 @@
 // job a new ticket.
 func (s *serviceDispatcher) acquireSlot(ctx context.Context, job *schedule.Job) schedule.Decision {
 	decision, decisions := s.requestSlot(job)
+	if decision.Kind != schedule.Granted {
+		s.endStill()
+	}
 	if decision.Kind != schedule.Waiting {
 		return decision
 	}
@@ -231,6 +240,8 @@
 	switch {
 	case e == outcome.TimedOut:
 		return work.Refuse(known, http.StatusGatewayTimeout, work.DeadlinePassed)
+	case e == outcome.BodyFailed:
+		return work.Refuse(known, http.StatusBadGateway, work.BodyIncomplete)
 	case e == outcome.Cancelled:
 		return work.Refuse(known, http.StatusGatewayTimeout, work.CallerGone)
 	case known == outcome.NotRun:
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -44,6 +44,8 @@
 	waiting map[schedule.Ticket]chan schedule.Decision
 	// lastTicket is the most recently issued ticket.
 	lastTicket schedule.Ticket
+	// transfers holds the bodies that pass between callers and targets.
+	transfers transfers
 	// pools has an entry for each listed target.
 	pools map[id.Target]*targetPool
 	// shortIdleUntil is the time until which maxIdle is shortIdleLimit, because a
@@ -319,7 +321,7 @@
 func (s *serviceDispatcher) dialer(e schedule.Endpoint) metric.DialFunc {
 	dial := metric.DialFunc(s.dispatcher.cfg.Dial)
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+		dial = (&net.Dialer{Timeout: dialTimeout, Control: s.dispatcher.cfg.Buffers.Control}).DialContext
 	}
 	if e.FailureDomain == s.dispatcher.cfg.FailureDomain {
 		return dial
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -83,8 +83,8 @@
 		p.put(c)
 		return failedReply(outcome.NotWritten, err)
 	}
-	x := &activeExchange{pool: p, conn: c, ctx: ctx, method: call.Method}
-	x.stop = context.AfterFunc(ctx, c.interrupt)
+	x := &activeExchange{pool: p, conn: c, ctx: ctx, method: call.Method, sender: newSender(c, call)}
+	x.stop = context.AfterFunc(ctx, x.interrupt)
 	idle := c.idle()
 	reply := x.run(call)
 	reply.Idle = idle
@@ -112,6 +112,7 @@
 	conn   *conn
 	ctx    context.Context
 	method string
+	sender *sender
 	// stop ends the watch of the context; it returns false if the context has
 	// already interrupted the connection.
 	stop func() bool
@@ -119,9 +120,15 @@
 	mustClose bool
 }
 
+// interrupt ends the exchange when its context has ended.
+func (x *activeExchange) interrupt() {
+	x.sender.interruptBody()
+	x.conn.interrupt()
+}
+
 func (x *activeExchange) run(call Call) Reply {
 	x.conn.begin(x.pool.cfg.HeaderLimit)
-	send := newSender(x.conn, call)
+	send := x.sender
 	send.start()
 	if err := send.writeError(); err != nil && x.conn.written.Load() == 0 {
 		return failedReply(outcome.NotWritten, err)
@@ -310,20 +317,34 @@
 		x.pool.cfg.Memory.Release(limit)
 		releaseHeaders()
 	}
-	buffered, err = io.ReadAll(io.LimitReader(resp.Body, int64(limit)))
-	if err != nil {
-		return buffered, false, err
-	}
-	var probe [1]byte
-	n, err := io.ReadFull(resp.Body, probe[:])
-	switch {
-	case err == io.EOF:
-		return buffered, true, nil
-	case err != nil:
-		return buffered, false, err
-	default:
-		return append(buffered, probe[:n]...), false, nil
+	return readUpTo(resp.Body, limit, resp.ContentLength >= 0)
+}
+
+// firstBuffer is the size of the first buffer of a body of unknown length.
+const firstBuffer = 4 * unit.KiB
+
+// readUpTo reads a body up to its end, or up to a byte more than a limit. The limit is its
+// length if that is known. Unlike io.ReadAll, it holds no more than that in the end.
+func readUpTo(body io.Reader, limit unit.Bytes, known bool) (buffered []byte, complete bool, err error) {
+	size := limit
+	if !known {
+		size = min(limit, firstBuffer)
+	}
+	buffered = make([]byte, 0, size+1)
+	for unit.Bytes(len(buffered)) <= limit {
+		if len(buffered) == cap(buffered) {
+			buffered = append(make([]byte, 0, min(limit+1, 2*unit.Bytes(cap(buffered)))), buffered...)
+		}
+		n, err := body.Read(buffered[len(buffered):cap(buffered)])
+		buffered = buffered[:len(buffered)+n]
+		switch {
+		case err == io.EOF:
+			return buffered, true, nil
+		case err != nil:
+			return buffered, false, err
+		}
 	}
+	return buffered, false, nil
 }
 
 // finish ends an exchange whose response was read to its end, and returns the
--- a/exchange/sender.go
+++ b/exchange/sender.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/briarrouter/briarrouter/unit"
@@ -43,12 +44,23 @@
 // error of the connection.
 type callerBody struct {
 	io.Reader
-	err error
+	// rest is the stream from the caller; nil if it cannot be interrupted.
+	rest interrupter
+	// abandoned is set before the body is interrupted because the rest of it is not needed.
+	abandoned atomic.Bool
+	err       error
+}
+
+// interrupter is a stream whose reads can be ended. Otherwise an exchange lasts until its
+// caller has sent the rest of the body or the read has timed out.
+type interrupter interface {
+	// Interrupt ends a read in progress, and fails later ones.
+	Interrupt()
 }
 
 func (b *callerBody) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
-	if err != nil && err != io.EOF {
+	if err != nil && err != io.EOF && !b.abandoned.Load() {
 		b.err = err
 	}
 	return n, err
@@ -68,6 +80,7 @@
 	switch {
 	case call.Body.Rest != nil:
 		s.body.Reader = io.MultiReader(bytes.NewReader(call.Body.Buffered), call.Body.Rest)
+		s.body.rest, _ = call.Body.Rest.(interrupter)
 		req.Body = io.NopCloser(&s.body)
 		req.ContentLength = int64(call.Body.Size)
 		s.concurrent = true
@@ -124,6 +137,13 @@
 	return len(p), nil
 }
 
+// interruptBody ends the read of the caller's body.
+func (s *sender) interruptBody() {
+	if s.body.rest != nil {
+		s.body.rest.Interrupt()
+	}
+}
+
 // writeError returns the error of a write that has ended, or nil.
 func (s *sender) writeError() error {
 	select {
@@ -151,6 +171,8 @@
 	case <-timer.C:
 		incomplete = true
 		s.conn.SetWriteDeadline(time.Unix(1, 0))
+		s.body.abandoned.Store(true)
+		s.interruptBody()
 	}
 	s.group.Wait()
 	return incomplete
