--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -99,6 +99,8 @@
 	cfg                               config
 	process                           *exec.Cmd
 	callers, resolve, peers, operator id.Address
+	// ordinaryPath is the path of the ordinary request that is served afterwards.
+	ordinaryPath string
 	// targets holds the addresses of the targets.
 	targets []id.Address
 	// log is the path of the log file.
@@ -130,7 +132,7 @@
 	server := &http.Server{Handler: store.Handler()}
 	go server.Serve(storeListener)
 	t.Cleanup(func() { server.Close() })
-	d := &daemon{t: t, cfg: cfg, callers: freeAddress(t), resolve: freeAddress(t), peers: freeAddress(t), operator: freeAddress(t), exited: make(chan struct{})}
+	d := &daemon{t: t, cfg: cfg, callers: freeAddress(t), resolve: freeAddress(t), peers: freeAddress(t), operator: freeAddress(t), exited: make(chan struct{}), ordinaryPath: "/quick/"}
 	store.Publish(1, []id.Service{"s", "unread", "lines", "slow", "few"}, []platformtest.Route{
 		{Name: "lines", Host: hostName, Path: "/lines/", Idempotent: true, Service: "lines", Timeout: 20 * time.Second, Objective: time.Second, Attempts: 2},
 		{Name: "unread", Host: hostName, Path: "/unread/", Service: "unread", Timeout: 20 * time.Second, Objective: time.Second, Attempts: 1},
@@ -150,7 +152,7 @@
 		d.register(store, id.Target(fmt.Sprintf("l%d", i)), "lines", serveConns(t, respondInLines))
 	}
 	d.start(id.Address(storeListener.Addr().String()))
-	d.requireServing("/quick/")
+	d.requireServing(d.ordinaryPath)
 	return d
 }
 
@@ -390,7 +392,7 @@
 		require.FailNow(d.t, "the daemon has exited")
 	default:
 	}
-	d.requireServing("/quick/")
+	d.requireServing(d.ordinaryPath)
 	d.stopSampling()
 	d.sampling.Wait()
 	peak, err := d.status("VmHWM")
