caller: connections that yield are counted as such

The ending of a connection whose request was refused because its caller stood still was counted as refused, so that the metric did not tell how many connections yielded. It is now yielded in each state.

No decision changes; go test -short ./caller passes.

--- a/caller/room.go
+++ b/caller/room.go
@@ -135,30 +135,26 @@
 		c.input.closeIdle()
 		return
 	}
-	c.yielded.Store(true)
 	state := c.progress.current()
+	c.yielded.Store(true)
+	c.progress.finish(yielded)
 	c.server.cfg.Log.Info().Stringer("State", state).Str("CallerAddress", c.conn.RemoteAddr().String()).
 		Msg("connection whose caller stands still is closed for others")
 	if state == writing || state == lingering {
-		c.progress.finish(yielded)
 		c.close()
 		return
 	}
 	c.input.yield()
 }
 
-// bodyShare is the share of the slots, as a fraction, that connections may take whose bodies
-// are arriving, so that they do not keep out requests that have arrived whole.
-const (
-	bodyShareNumerator   = 3
-	bodyShareDenominator = 4
-)
+// maxBodies returns how many connections may have a body that is arriving. The other slots
+// are for requests that arrive whole.
+func (s *Server) maxBodies() int64 { return int64(cap(s.slots)) * 3 / 4 }
 
 // admitBody registers a connection whose body is arriving and reports whether there is
 // room. If there is none, a body that stands still yields its room.
 func (s *Server) admitBody(c *connection) bool {
-	limit := int64(cap(s.slots) * bodyShareNumerator / bodyShareDenominator)
-	if s.bodies.Add(1) > limit && !s.yieldStillBody() {
+	if s.bodies.Add(1) > s.maxBodies() && !s.yieldStillBody() {
 		s.bodies.Add(-1)
 		return false
 	}
