caller: what the operating system receives of bodies has a limit of its own

The windows of streamed bodies were reserved in Buffers, and the memory that they left unused there was filled by the collector's garbage.

--- a/caller/body.go
+++ b/caller/body.go
@@ -46,7 +46,7 @@
 	x.body = &body{connection: c, request: r, number: c.input.beginBody(), remaining: x.limits.Body}
 	x.body.deadline = x.bodyDeadline(req)
 	req.Body, release, err = message.BufferBody(x.body, size, message.BufferConfig{
-		Limit: s.cfg.Limits.BodyBuffer, Memory: s.cfg.Memory, OnRefusal: func() { s.yieldStillBody() }, OnReserve: c.widener(),
+		Limit: s.cfg.Limits.BodyBuffer, Memory: s.cfg.Memory, OnRefusal: func() { s.yieldStillBody() }, OnBuffer: c.widen,
 	})
 	x.body.deadline = time.Time{}
 	if err == nil && req.Body.Replayable() {
@@ -73,25 +73,24 @@
 	return req.Deadline
 }
 
-// wideReceiveBuffer is what the operating system may hold of a body for which memory is
-// reserved. With less, callers that are far away could not send at the speed of their link.
-const wideReceiveBuffer = 128 * unit.KiB
+// wideWindow is how much more of a body than of other bytes the operating system may
+// receive ahead. Without it, callers that are far away could not send at the speed of their
+// link.
+const wideWindow = 128 * unit.KiB
 
-// widen lets the operating system receive more of a body at a time, up to what is reserved
-// for it. endBody reverts it.
+// widen lets the operating system receive more of a body of a size at a time, or of a
+// streamed one (-1), if memory is available. endBody reverts it.
 func (c *connection) widen(size unit.Bytes) {
-	if size = min(size, wideReceiveBuffer); size > max(c.server.cfg.Buffers.Receive, c.window) {
-		c.window = size
-		socket.SetReceiveBuffer(c.conn, size)
+	least := c.server.cfg.Buffers.Receive
+	window := wideWindow
+	if size >= 0 {
+		window = min(window, size)
 	}
-}
-
-// widener returns widen, or nil if the operating system's buffers are not bounded.
-func (c *connection) widener() func(unit.Bytes) {
-	if c.server.cfg.Buffers.Receive == 0 {
-		return nil
+	if least == 0 || window <= least || c.window > 0 || !c.server.cfg.Memory.TryAcquireWindow(window) {
+		return
 	}
-	return c.widen
+	c.window = window
+	socket.SetReceiveBuffer(c.conn, least+window)
 }
 
 // endBody marks that the body of the request is not read any more.
@@ -99,6 +98,7 @@
 	c.input.endBody()
 	c.server.dismissBody(c)
 	if c.window > 0 {
+		c.server.cfg.Memory.ReleaseWindow(c.window)
 		c.window = 0
 		socket.SetReceiveBuffer(c.conn, c.server.cfg.Buffers.Receive)
 	}
--- a/caller/connection.go
+++ b/caller/connection.go
@@ -51,8 +51,8 @@
 	receivesBody atomic.Bool
 	// yielded is set once the connection ends because its caller stands still.
 	yielded atomic.Bool
-	// window is the size to which the operating system's receive buffer was changed for the
-	// body of the request; zero if it was not. Only the connection's task uses it.
+	// window is how much more the operating system may receive for the body of the request;
+	// zero if no more. Only the connection's task uses it.
 	window unit.Bytes
 	// progress changes where the connection's task goes from one step to the next.
 	progress progress
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -21,13 +21,17 @@
 	// Streams holds what is between the connections of streamed bodies. It has a limit of
 	// its own, so that bodies for which no buffer is left can be streamed.
 	Streams
+	// Windows holds what the operating system may receive of bodies beyond what it may for
+	// each connection. It has a limit of its own, too: garbage of what was buffered may
+	// still fill the memory that is reserved.
+	Windows
 	// Headers holds header sections that are being received, or that belong to requests
 	// and responses in progress.
 	Headers
 	kindCount
 )
 
-var kindNames = [kindCount]string{"buffers", "bodies", "streams", "headers"}
+var kindNames = [kindCount]string{"buffers", "bodies", "streams", "windows", "headers"}
 
 func (k Kind) String() string { return kindNames[k] }
 
@@ -87,13 +91,23 @@
 
 // TryAcquireStream reserves the memory for another streamed body and reports whether the
 // limit allowed it. It does not block.
-func (l *Limiter) TryAcquireStream() bool {
-	streams := &l.kinds[Streams]
-	if streams.reserved.Load()+int64(StreamSize) > int64(l.limitOf(Streams)) {
-		streams.refuse()
+func (l *Limiter) TryAcquireStream() bool { return l.tryAcquireApart(Streams, StreamSize) }
+
+// TryAcquireWindow reserves n bytes that the operating system may receive of a body and
+// reports whether the limit allowed it. It does not block.
+func (l *Limiter) TryAcquireWindow(n unit.Bytes) bool { return l.tryAcquireApart(Windows, n) }
+
+// ReleaseWindow gives back n bytes reserved with TryAcquireWindow.
+func (l *Limiter) ReleaseWindow(n unit.Bytes) { l.kinds[Windows].add(-n) }
+
+// tryAcquireApart reserves n bytes of a kind with a limit of its own. Reservations at the
+// same time may exceed it by little.
+func (l *Limiter) tryAcquireApart(k Kind, n unit.Bytes) bool {
+	if l.kinds[k].reserved.Load()+int64(n) > int64(l.limitOf(k)) {
+		l.kinds[k].refuse()
 		return false
 	}
-	streams.add(StreamSize)
+	l.kinds[k].add(n)
 	return true
 }
 
@@ -104,10 +118,10 @@
 	// StreamSize is what a streamed body takes: the buffers between its connections, and two
 	// tasks.
 	StreamSize = 48 * unit.KiB
-	// streamShare is the share of the limit, as a divisor, that streamed bodies may take in
-	// addition to it, but minStreams of them at least.
-	streamShare = 8
-	minStreams  = 16
+	// apartShare is the share of the limit, as a divisor, that streamed bodies may take in
+	// addition to it, but minStreams of them at least, and as much for windows.
+	apartShare = 8
+	minStreams = 16
 )
 
 // headerShare is the share of the limit, as a divisor, that header sections may take, so
@@ -125,8 +139,8 @@
 		return l.HeaderLimit()
 	case Bodies:
 		return l.limit * bodyShare / 100
-	case Streams:
-		return max(l.limit/streamShare, minStreams*StreamSize)
+	case Streams, Windows:
+		return max(l.limit/apartShare, minStreams*StreamSize)
 	default:
 		return l.limit
 	}
--- a/message/buffer.go
+++ b/message/buffer.go
@@ -15,19 +15,14 @@
 	Memory *memory.Limiter
 	// OnRefusal is called when no memory is available for a buffer; nil for nothing.
 	OnRefusal func()
-	// OnReserve is called when memory is available for that many bytes of the body, so that
-	// they may be received. If it is nil, no memory is reserved for streamed bodies.
-	OnReserve func(unit.Bytes)
+	// OnBuffer is called when a size is reserved for the buffer, or when the body is streamed
+	// (-1); nil for nothing.
+	OnBuffer func(unit.Bytes)
 }
 
-const (
-	// firstBuffer is the size of the first buffer of a body whose size is not known. It
-	// doubles up to BufferConfig.Limit.
-	firstBuffer = 4 * unit.KiB
-	// streamWindow is what may be received ahead of a streamed body. With less, senders that
-	// are far away cannot use their link; it is left out without memory.
-	streamWindow = 128 * unit.KiB
-)
+// firstBuffer is the size of the first buffer of a body whose size is not known. It doubles
+// up to BufferConfig.Limit.
+const firstBuffer = 4 * unit.KiB
 
 // BufferBody buffers the whole body if it is small and memory is available, and streams it
 // otherwise. If a body of unknown size (-1) is too large for the buffer, its start is
@@ -47,8 +42,8 @@
 type bodyBuffer struct {
 	cfg    BufferConfig
 	source io.Reader
-	// buffered is what is reserved for the buffer, streamed for the stream.
-	buffered, streamed unit.Bytes
+	// buffered is what is reserved for the buffer.
+	buffered unit.Bytes
 }
 
 func (b *bodyBuffer) readSized(size unit.Bytes) (work.Body, error) {
@@ -89,10 +84,7 @@
 
 // stream leaves the rest of the body to be read while the request is sent.
 func (b *bodyBuffer) stream(buffered []byte, size unit.Bytes) work.Body {
-	if b.cfg.OnReserve != nil && b.cfg.Memory.TryAcquire(streamWindow) {
-		b.streamed = streamWindow
-		b.reserved(streamWindow)
-	}
+	b.reserved(-1)
 	return work.Body{Buffered: buffered, Rest: b.source, Size: size}
 }
 
@@ -112,13 +104,12 @@
 }
 
 func (b *bodyBuffer) reserved(size unit.Bytes) {
-	if b.cfg.OnReserve != nil {
-		b.cfg.OnReserve(size)
+	if b.cfg.OnBuffer != nil {
+		b.cfg.OnBuffer(size)
 	}
 }
 
 func (b *bodyBuffer) release() {
 	b.cfg.Memory.ReleaseBody(b.buffered)
-	b.cfg.Memory.Release(b.streamed)
-	b.buffered, b.streamed = 0, 0
+	b.buffered = 0
 }
