crowd: ports of daemons that no other socket can take

A target had got the port of the daemon's address for callers, since the addresses were chosen before the targets began to listen, and answered in its place; the daemon had ended at its start.

No check changes.

--- a/crowd/crowd_test.go
+++ b/crowd/crowd_test.go
@@ -303,11 +303,29 @@
 	return fmt.Sprintf("CallerConnections = %d\n", c.connections)
 }
 
+// Ports of daemons are below those that the operating system gives to outgoing connections
+// and to listeners that state none, which could take a port before its daemon does. The
+// tests of different processes begin at different ports.
+const (
+	firstPort     = 12_000
+	portsPerRun   = 150
+	concurrentRun = 100
+)
+
+// portsUsed counts the ports that freeAddress has tried.
+var portsUsed int
+
 func freeAddress(t *testing.T) id.Address {
-	l, err := platformtest.Listen("")
-	require.NoError(t, err)
-	defer l.Close()
-	return id.Address(l.Addr().String())
+	for range portsPerRun {
+		port := firstPort + os.Getpid()%concurrentRun*portsPerRun + portsUsed%portsPerRun
+		portsUsed++
+		if l, err := platformtest.Listen(id.Address(fmt.Sprintf("127.0.0.1:%d", port))); err == nil {
+			defer l.Close()
+			return id.Address(l.Addr().String())
+		}
+	}
+	require.FailNow(t, "no free port")
+	return ""
 }
 
 func (d *daemon) sample(ctx context.Context) {
